--- /dev/null
+++ b/aniserudder/rules.py
@@ -0,0 +1,466 @@
+"""Every decision of an aniserudder node, with its tables and tuned values.
+
+Called by a host (simhost.py, later the daemon): build Node(settings, seed), call arrived / started / ended /
+client_left / roster / probed / wake as things happen, carry out the returned changes in order, and call wake
+again at wake_at. Settings, vocabulary and changes: interface.py. What is remembered: state.py.
+The ordinary path is Node._route; docs/design.md says what each exception is for and when it acts.
+"""
+from __future__ import annotations
+
+import math
+from hashlib import blake2b
+from random import Random
+
+from .interface import (Availability, Change, Effect, EngineChange, Outcome, Prompt, Report, Role, RosterRow,
+                        SequenceChange, Settings, Standing, State)
+from .state import Attempt, Cluster, Engine, Sequence, TypeRow
+
+MS, S = 1_000, 1_000_000
+# The learned bits.
+GRID = (300, 1000, 3000, 9000)  # prompt lengths of the first centroids, each once cold and once mostly kept
+GRID_KEPT = 0.9                 # the part kept in the second of each pair
+LOCAL_BELOW = 1000              # bits start local below this many writer-side tokens
+NEVER_LOCAL = 2000              # no local read of a longer remainder while a reader can be had
+CENTROID_STEP = 0.01            # how far a centroid moves towards each member
+PERIOD = 5 * S                  # length of each half of a scan
+EPSILON = 0.05                  # trials: at most this share of the sequences
+MIN_SAMPLES = 8                 # of each path before a bit may flip
+FLIP_MARGIN = 0.1               # by which the other path must be better
+SHARED_MISS = 0.5               # both paths below this share: the slowness is shared, nothing is learned
+AGEING = 0.9                    # evidence kept from one period to the next
+STREAM_SLACK = 1.5              # expected outputs are rough
+# Kept beginnings.
+KEPT_FOR = 60 * S
+FORGOT = 0.5                    # found less than this part of what was believed: the engine forgot
+# Picking engines.
+SPILL = 0.35                    # part of the latency SLO that reading may take before the next reader is tried
+FIRST_READ_PACE = 80            # microseconds for a token, until seen
+OTHER_RACK, OTHER_ZONE = 1.3, 1.8  # a writer's load counts as this many times when the state has to travel
+LOCAL_ROOM = 1.5                # a writer has room while its load is within this multiple of the least
+# Health.
+EJECT_AFTER = 3                 # failures in a row
+FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 8 * S
+MAX_EJECTED = 0.5               # of a role; beyond it the fault is taken to be shared
+FULL_PAUSE = 200 * MS           # an engine that said 'full' is passed over this long
+# Time-outs.
+READ_PATIENCE = 4.0             # times the expected read
+READ_SLO_PART = 0.5             # but at least this part of the latency SLO
+# Cold engines.
+COLD_MARGIN = 0.7               # of what cold share and warm peers' rate allow
+RATE_WINDOW = 5 * S
+PROBE_EVERY = 1 * S
+TICK = 100 * MS
+
+NEVER_RAN = {Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.READ}
+ILL = {Outcome.ERROR, Outcome.TIMED_OUT, Outcome.NO_ROUTE, Outcome.CUT}
+FINAL = {State.GENERATED, State.REJECTED, State.ABORTED, State.LEFT, State.CLEARED}
+
+
+def rank(engine: Engine, key: str) -> int:
+    """Rendezvous hash: every node ranks the engines alike for a key."""
+    return int.from_bytes(blake2b(f"{engine.id} {key}".encode(), digest_size=8).digest(), "big")
+
+
+class Node:
+    """One instance of the router. Sees its own traffic only."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.chance = Random(seed).random
+        self.now = 0
+        self.wake_at = 0
+        self.changes: list[Change] = []
+        self.engines: dict[str, Engine] = {}
+        self.seqs: dict[str, Sequence] = {}
+        self.rows = {t.name: TypeRow(t.name, t.utility, t.latency_slo, t.slo_per_1000_tokens, t.token_pace, t.effect,
+                                     t.repeat_group, t.repeat_window) for t in settings.types}
+        self.clusters = [Cluster([math.log(n), math.log(left), math.log(left), math.log(100)], left < LOCAL_BELOW)
+                         for n in GRID for left in (n, n * (1 - GRID_KEPT))]
+        self.feature_mean, self.feature_var = [math.log(1500), math.log(700), math.log(700), math.log(100)], [1.0] * 4
+        self.scan = 0             # the half period of the scan that runs; past the last, epsilon trials
+        self.period_end = 0
+        self.trials = 0.0         # trials that may still be made
+        self.buckets: dict[str, tuple[float, int]] = {}
+
+    # What happens, as told by the host.
+
+    def roster(self, now: int, rows: list[RosterRow], complete: bool) -> list[Change]:
+        self.now = now
+        named = {r.engine for r in rows}
+        for engine in self.engines.values() if complete else ():
+            engine.listed = engine.listed and engine.id in named
+        for row in rows:
+            role = self.settings.roles.get(row.kind, Role.UNKNOWN)
+            engine = self.engines.get(row.engine)
+            if engine is None:
+                engine = self.engines[row.engine] = Engine(row.engine, row, role)
+            elif row.started_at > engine.row.started_at:  # restarted: empty, and cold
+                engine.kept.clear()
+                engine.failures, engine.sends = 0, []
+            engine.row, engine.role = row, role
+            engine.listed = row.availability is Availability.RUNNING
+        return self._done()
+
+    def arrived(self, now: int, id: str, prompt: Prompt) -> list[Change]:
+        self.now = now
+        row = self.rows[prompt.traffic_type]
+        output = prompt.hint or round(row.mean_stream) or row.pace * prompt.max_output // 4
+        slo = row.slo + row.slo_per_1000 * prompt.tokens // 1000
+        seq = Sequence(id, prompt, row, now, now + slo, now + prompt.time_left, output)
+        seq.over_share = self._over_share(prompt.customer)
+        self.seqs[id] = seq
+        self._route(seq)
+        return self._done()
+
+    def started(self, now: int, id: str, ordinal: int) -> list[Change]:
+        self.now = now
+        seq = self.seqs.get(id)
+        if seq and seq.out and seq.out.ordinal == ordinal and seq.state not in FINAL:
+            attempt = seq.out
+            attempt.started_at = now
+            seq.held = False
+            self._good(attempt.engine)
+            self._change(seq, State.STREAMING, attempt.engine)
+        return self._done()
+
+    def ended(self, now: int, id: str, ordinal: int, outcome: Outcome, kept: int, final: bool,
+              report: Report | None) -> list[Change]:
+        self.now = now
+        seq = self.seqs.get(id)
+        if seq is None or seq.out is None or seq.out.ordinal != ordinal:
+            return self._done()
+        attempt, engine = seq.out, seq.out.engine
+        self._settle(attempt, outcome, kept, report)
+        if outcome is Outcome.READ:
+            seq.held, seq.reader = True, engine
+        elif outcome is Outcome.NO_STATE:
+            seq.held = False
+        if seq.state in FINAL:
+            if seq.held:
+                self._change(seq, State.CLEARED, lets_go=True)
+        elif final or attempt.started_at:
+            self._credit(seq, attempt, outcome)
+            self._change(seq, State.GENERATED if outcome is Outcome.GENERATED else State.ABORTED, lets_go=seq.held)
+        else:
+            if outcome not in NEVER_RAN and engine.role is not Role.READER:
+                seq.may_have_run = seq.may_have_run or attempt
+            if outcome is Outcome.READ:
+                self._change(seq, State.READ, engine)
+            else:
+                seq.tried.append(engine)
+            self._route(seq)
+        if seq.state in FINAL:
+            self.seqs.pop(id, None)
+        return self._done()
+
+    def client_left(self, now: int, id: str) -> list[Change]:
+        self.now = now
+        seq = self.seqs.get(id)
+        if seq and seq.state not in FINAL:
+            held = seq.held and seq.out is None
+            self._change(seq, State.LEFT, lets_go=held)
+        return self._done()
+
+    def probed(self, now: int, id: str, good: bool, report: Report | None) -> list[Change]:
+        self.now = now
+        engine = self.engines.get(id)
+        if engine:
+            engine.probing = False
+            if report:
+                engine.report, engine.sent_since = report, 0
+        return self._done()
+
+    def wake(self, now: int) -> list[Change]:
+        self.now = now
+        self.wake_at = 0
+        return self._done()
+
+    def _done(self) -> list[Change]:
+        """Ends every call: asks for load reports where there are any, and for the next wake-up."""
+        if self.settings.may_probe and self.settings.report_fields:
+            for engine in self.engines.values():
+                if (engine.listed and engine.role is not Role.READER and not engine.probing
+                        and self.now - engine.probed_at >= PROBE_EVERY):
+                    engine.probing, engine.probed_at = True, self.now
+                    self.changes.append(EngineChange(engine.id, Standing.SAMPLED, probe=True))
+        self.wake_at = self.now + TICK if self.seqs else 0
+        changes, self.changes = self.changes, []
+        return changes
+
+    # The ordinary path.
+
+    def _route(self, seq: Sequence) -> None:
+        """From arrival to the writer. Also takes a sequence on after a schedule attempt that failed."""
+        if self.now >= seq.abandon_at or len(seq.attempts) >= self.settings.max_attempts or not self._repeats(seq):
+            return self._give_up(seq)
+        if not seq.held:
+            writer, reader = self._local_engine(seq), self._reader(seq)
+            if seq.cluster is None:
+                features = self._features(seq, reader, writer)
+                seq.cluster = self._nearest(features)
+                seq.local = self._path(seq.cluster, seq.prompt.tokens - self._kept(writer, seq) if writer else 0)
+            last = len(seq.attempts) + 1 >= self.settings.max_attempts
+            if writer and (seq.local or last or reader is None):
+                return self._send(seq, writer)
+            if reader and not last:
+                return self._send(seq, reader)
+            return self._give_up(seq)
+        writer = self._writer(seq)
+        if writer:
+            return self._send(seq, writer)
+        self._give_up(seq)
+
+    def _features(self, seq: Sequence, reader: Engine | None, writer: Engine | None) -> list[float]:
+        n = seq.prompt.tokens
+        raw = (n, n - self._kept(reader, seq), n - self._kept(writer, seq), seq.output / max(1, seq.row.pace))
+        return [math.log(max(20.0, f)) for f in raw]
+
+    def _nearest(self, features: list[float]) -> Cluster:
+        for i, f in enumerate(features):
+            off = f - self.feature_mean[i]
+            self.feature_mean[i] += CENTROID_STEP * off
+            self.feature_var[i] += CENTROID_STEP * (off * off - self.feature_var[i])
+        best = min(self.clusters, key=lambda c: sum((f - x) ** 2 / max(v, 0.05) for f, x, v in
+                                                    zip(features, c.centre, self.feature_var)))
+        best.centre = [x + CENTROID_STEP * (f - x) for f, x in zip(features, best.centre)]
+        return best
+
+    def _path(self, cluster: Cluster, remainder: int) -> bool:
+        """The cluster's bit, or in a scan or a trial the other path. Never local for a long remainder."""
+        if self.now >= self.period_end:
+            self.scan += self.period_end > 0
+            self.period_end = self.now + PERIOD
+            for c in self.clusters:
+                self._judge(c)
+        self.trials = min(3.0, self.trials + EPSILON)
+        scanned, half = divmod(self.scan, 2)
+        local = cluster.local
+        if scanned < len(self.clusters):
+            local = half == 0 if cluster is self.clusters[scanned] else local
+        elif self.chance() < EPSILON:
+            local = not local
+        if local != cluster.local:
+            if self.trials < 1:
+                local = cluster.local
+            else:
+                self.trials -= 1
+        return local and remainder <= NEVER_LOCAL
+
+    def _judge(self, c: Cluster) -> None:
+        if min(c.tries.values()) >= MIN_SAMPLES:
+            share = {path: c.wins[path] / c.tries[path] for path in (True, False)}
+            if max(share.values()) >= SHARED_MISS and share[not c.local] > share[c.local] + FLIP_MARGIN:
+                c.local = not c.local
+        for path in (True, False):
+            c.tries[path] *= AGEING
+            c.wins[path] *= AGEING
+
+    def _credit(self, seq: Sequence, attempt: Attempt, outcome: Outcome) -> None:
+        """A sequence counts for the path it was first sent down; bursts beyond a share do not count."""
+        stream = self.now - attempt.started_at
+        if outcome is Outcome.GENERATED and attempt.started_at:
+            seq.row.mean_stream += 0.05 * (stream - seq.row.mean_stream) if seq.row.mean_stream else stream
+        if seq.cluster is None or seq.over_share or not seq.attempts:
+            return
+        local = seq.attempts[0].engine.role is not Role.READER
+        won = (outcome is Outcome.GENERATED and 0 < attempt.started_at <= seq.slo_at
+               and stream <= STREAM_SLACK * seq.output)
+        seq.cluster.tries[local] += 1
+        seq.cluster.wins[local] += won
+        seq.cluster = None
+
+    # Picking engines.
+
+    def _kept(self, engine: Engine | None, seq: Sequence) -> int:
+        best = 0
+        if engine:
+            for key, most in ((seq.prompt.session, seq.prompt.tokens), (seq.prompt.shared, seq.prompt.shared_tokens)):
+                tokens, at = engine.kept.get(key, (0, 0)) if key else (0, 0)
+                if self.now - at < KEPT_FOR:
+                    best = max(best, min(tokens, most))
+        return best
+
+    def _usable(self, seq: Sequence, *roles: Role) -> list[Engine]:
+        """Engines of these roles that the rules allow and that are thought well, best known first tried."""
+        allowed = [e for e in self.engines.values() if e.role in roles and self._may_send(seq, e)]
+        well = [e for e in allowed if e.eject_until <= self.now]
+        if len(well) < (1 - MAX_EJECTED) * len(allowed):
+            well = allowed  # most look ill: the fault is shared or this node's own link
+        well = [e for e in well if not self._too_cold(e)]
+        fresh = [e for e in well if e not in seq.tried]
+        return fresh or well
+
+    def _reader(self, seq: Sequence) -> Engine | None:
+        """Longest kept beginning, else by hash; the next one when reading there would use up the latency SLO."""
+        readers = [e for e in self._usable(seq, Role.READER) if e.full_until <= self.now]
+        key = seq.prompt.shared or seq.prompt.session
+        readers.sort(key=lambda e: (-self._kept(e, seq), e.row.zone != self.settings.zone, rank(e, key)))
+        limit = SPILL * (seq.slo_at - seq.arrived)
+        return next((e for e in readers if self._read_time(e, seq) <= limit),
+                    min(readers, key=lambda e: self._read_time(e, seq), default=None))
+
+    def _read_time(self, engine: Engine, seq: Sequence) -> float:
+        """By the pace seen for own tokens outstanding, in which the other nodes' work shows."""
+        return (engine.read_pace or FIRST_READ_PACE) * (engine.reading + seq.prompt.tokens - self._kept(engine, seq))
+
+    def _load(self, engine: Engine) -> float:
+        """By last report and own sends since, else own streams; set against the listed size."""
+        if engine.report and "inflight" in engine.report.values and self.now - engine.report.at < 3 * PROBE_EVERY:
+            return (engine.report.values["inflight"] + engine.sent_since + 1) / engine.row.size
+        return (engine.streams + 1) / engine.row.size
+
+    def _writer(self, seq: Sequence) -> Engine | None:
+        """Most room; the reader's rack is preferred among writers with like room."""
+        def cost(e: Engine) -> float:
+            at = seq.reader.row if seq.reader else e.row
+            return self._load(e) * (OTHER_ZONE if e.row.zone != at.zone else OTHER_RACK if e.row.rack != at.rack else 1)
+        writers = [e for e in self._usable(seq, Role.WRITER, Role.MIXED) if e.full_until <= self.now]
+        return min(writers, key=cost, default=None)
+
+    def _local_engine(self, seq: Sequence) -> Engine | None:
+        """A writer with room that may read, else a mixed engine, by longest kept beginning."""
+        free = [e for e in self._usable(seq, Role.WRITER, Role.MIXED) if e.full_until <= self.now]
+        least = min((self._load(e) for e in free), default=0)
+        roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least and e.role is Role.WRITER
+                 and self.settings.writers_read]
+        return max(roomy or [e for e in free if e.role is Role.MIXED],
+                   key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
+
+    # Rules' guards: each in one place.
+
+    def _may_send(self, seq: Sequence, engine: Engine) -> bool:
+        """Drains, and where a repeat of a tokened sequence may go. Every send passes here."""
+        if not engine.listed:
+            return False
+        ran = seq.may_have_run
+        if ran is None or seq.row.effect is Effect.REPEATABLE or engine.role is Role.READER:
+            return True
+        here, there = engine.row, ran.engine.row
+        return seq.row.effect is Effect.TOKENED and self.now - ran.sent_at < seq.row.window and (
+            seq.row.group == "all" or here.zone == there.zone and (seq.row.group == "zone" or here.rack == there.rack))
+
+    def _repeats(self, seq: Sequence) -> bool:
+        return seq.may_have_run is None or seq.row.effect is not Effect.ONCE_ONLY
+
+    def _too_cold(self, engine: Engine) -> bool:
+        """A cold engine gets no more than its share of what warm engines of its kind and size take, evenly spaced."""
+        age = self.now - engine.row.started_at
+        if not engine.row.started_at or age >= self.settings.cold_time:
+            return False
+        since = self.now - RATE_WINDOW
+        warm = [e for e in self.engines.values() if e.row.kind == engine.row.kind and e.listed and e is not engine
+                and (not e.row.started_at or self.now - e.row.started_at >= self.settings.cold_time)]
+        rates = [sum(t > since for t in e.sends) / e.row.size for e in warm]
+        if not rates or not sum(rates):
+            return True
+        gap = RATE_WINDOW / (COLD_MARGIN * self.settings.cold_share * engine.row.size * sum(rates) / len(rates))
+        return self.now - max(engine.row.started_at, engine.sends[-1] if engine.sends else 0) < gap
+
+    def _send(self, seq: Sequence, engine: Engine) -> None:
+        left = seq.abandon_at - self.now
+        remainder = 0 if seq.held and engine.role is not Role.READER else max(
+            1, seq.prompt.tokens - self._kept(engine, seq))
+        reads = engine.role is Role.READER
+        more = len(seq.attempts) + 1 < self.settings.max_attempts
+        time_out = left
+        if reads:
+            patience = max(READ_PATIENCE * self._read_time(engine, seq), READ_SLO_PART * (seq.slo_at - seq.arrived))
+            time_out = min(left, round(patience))
+            engine.reading += remainder
+        else:
+            if more and seq.row.effect is not Effect.ONCE_ONLY:
+                time_out = min(left, max(seq.slo_at - seq.arrived, left // 2))
+            engine.streams += 1
+            engine.sent_since += 1
+            engine.held_tokens += seq.prompt.tokens
+        attempt = Attempt(seq, engine, len(seq.attempts), self.now, remainder, self._kept(engine, seq),
+                          engine.reading, time_out)
+        seq.attempts.append(attempt)
+        seq.out = attempt
+        engine.out[attempt] = None
+        engine.sends = [t for t in engine.sends if t > self.now - RATE_WINDOW] + [self.now]
+        self._change(seq, State.READING if reads else State.WRITING, engine, time_out=time_out)
+
+    def _give_up(self, seq: Sequence) -> None:
+        """Answered at once. A rejection only where the rules let the client repeat."""
+        harmless = seq.may_have_run is None or seq.row.effect is Effect.REPEATABLE or (
+            seq.row.effect is Effect.TOKENED and seq.row.group == "all")
+        state = State.REJECTED if harmless else State.ABORTED
+        if seq.attempts:
+            self._credit(seq, seq.attempts[-1], Outcome.ERROR)
+        self._change(seq, state, come_back=self.settings.max_come_back if harmless else 0, lets_go=seq.held)
+
+    def _change(self, seq: Sequence, state: State, engine: Engine | None = None, time_out: int = 0,
+                come_back: int = 0, lets_go: bool = False) -> None:
+        """Every state change of a sequence."""
+        seq.state = state
+        if lets_go:
+            seq.held = False
+        ordinal = seq.out.ordinal if seq.out else 0
+        self.changes.append(SequenceChange(seq.id, state, engine.id if engine else "", ordinal, time_out, come_back,
+                                           lets_go))
+        if state in FINAL and seq.out is None:
+            self.seqs.pop(seq.id, None)
+
+    # What outcomes tell of engines.
+
+    def _settle(self, attempt: Attempt, outcome: Outcome, kept: int, report: Report | None) -> None:
+        """Closes a schedule attempt: counts, kept beginnings, pace and health of its engine."""
+        seq, engine = attempt.seq, attempt.engine
+        seq.out = None
+        engine.out.pop(attempt, None)
+        if engine.role is Role.READER:
+            engine.reading -= attempt.reads
+        else:
+            engine.streams -= 1
+            engine.sent_since -= 1
+            engine.held_tokens -= seq.prompt.tokens
+        if report:
+            engine.report, engine.sent_since = report, 0
+        took = self.now - attempt.sent_at
+        if outcome is Outcome.READ:
+            pace = took / max(1, attempt.queue)
+            engine.read_pace += 0.2 * (pace - engine.read_pace) if engine.read_pace else pace
+        read_here = outcome is Outcome.READ or outcome is Outcome.GENERATED and attempt.reads
+        if read_here:
+            if attempt.believed > 200 and kept < FORGOT * attempt.believed:
+                engine.kept.clear()  # flush or restart: it no longer keeps what it kept
+            for key, tokens in ((seq.prompt.session, seq.prompt.tokens), (seq.prompt.shared, seq.prompt.shared_tokens)):
+                if key and tokens:
+                    engine.kept.pop(key, None)
+                    engine.kept[key] = (tokens, self.now)
+            while len(engine.kept) > 4000:
+                del engine.kept[next(iter(engine.kept))]
+        if outcome in (Outcome.READ, Outcome.GENERATED):
+            self._good(engine)
+        elif outcome is Outcome.FULL:
+            engine.full_until = self.now + FULL_PAUSE
+        elif outcome in ILL and not attempt.started_at:
+            self._failed(engine, outcome)
+
+    def _good(self, engine: Engine) -> None:
+        engine.failures, engine.last_good, engine.eject_until, engine.pause = 0, self.now, 0, 0
+        if engine.standing is not Standing.TRUSTED:
+            self._judged(engine, Standing.TRUSTED, "answered")
+
+    def _failed(self, engine: Engine, outcome: Outcome) -> None:
+        """Failures in a row; growing pauses; a first failure after a pause ejects again."""
+        engine.failures += 1
+        if engine.failures >= EJECT_AFTER and self.now >= engine.eject_until:
+            engine.pause = min(LONGEST_PAUSE, engine.pause * 2 or FIRST_PAUSE)
+            engine.eject_until = self.now + engine.pause
+            self._judged(engine, Standing.EJECTED, outcome.value)
+
+    def _judged(self, engine: Engine, standing: Standing, reason: str) -> None:
+        engine.standing = standing
+        self.changes.append(EngineChange(engine.id, standing, reason=reason))
+
+    def _over_share(self, customer: str) -> bool:
+        """A node's part of a customer's allowance is its share among the nodes."""
+        rate = self.settings.allowances.get(customer, 0) / self.settings.nodes
+        if not rate:
+            return False
+        tokens, at = self.buckets.get(customer, (rate, self.now))
+        tokens = min(2 * rate, tokens + rate * (self.now - at) / S)
+        self.buckets[customer] = (max(0.0, tokens - 1), self.now)
+        return tokens < 1
--- /dev/null
+++ b/aniserudder/state.py
@@ -0,0 +1,95 @@
+"""What a node remembers, grouped by how long it lives. Nothing is decided here."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .interface import Report, Role, RosterRow, Standing, State, Prompt
+
+
+@dataclass(slots=True, eq=False)
+class Engine:
+    """Lives as long as the node knows the engine."""
+    id: str
+    row: RosterRow
+    role: Role
+    listed: bool = True
+    standing: Standing = Standing.TRUSTED
+    failures: int = 0            # in a row
+    pause: int = 0               # length of the present ejection
+    eject_until: int = 0
+    full_until: int = 0
+    last_good: int = 0
+    reading: int = 0             # own prompt tokens out to be read
+    streams: int = 0             # own schedule attempts and streams at a writer or mixed engine
+    held_tokens: int = 0         # tokens of those
+    read_pace: float = 0.0       # observed read time for each own token outstanding; 0: not seen
+    first_pace: float = 0.0      # observed time to a first token at a writer; 0: not seen
+    stream_pace: float = 0.0     # observed stream time over the expected one; 0: not seen
+    kept: dict[str, tuple[int, int]] = field(default_factory=dict)  # key: (tokens, noted at)
+    out: dict[Attempt, None] = field(default_factory=dict)
+    sends: list[int] = field(default_factory=list)
+    report: Report | None = None
+    sent_since: int = 0
+    probed_at: int = 0
+    probing: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """Lives for one schedule attempt."""
+    seq: Sequence
+    engine: Engine
+    ordinal: int
+    sent_at: int
+    reads: int                   # prompt tokens that the engine has to read
+    believed: int                # tokens believed kept there
+    queue: int                   # own tokens outstanding there when it was sent, these included
+    time_out: int
+    started_at: int = 0
+    over: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Sequence:
+    """Lives from its arrival until it is answered and nothing of it is out or held."""
+    id: str
+    prompt: Prompt
+    row: TypeRow
+    arrived: int
+    slo_at: int
+    abandon_at: int
+    output: int
+    state: State = State.NEW
+    attempts: list[Attempt] = field(default_factory=list)
+    out: Attempt | None = None
+    reader: Engine | None = None  # where the read state waits, or was last made
+    held: bool = False
+    may_have_run: Attempt | None = None
+    cluster: Cluster | None = None
+    local: bool = False
+    over_share: bool = False
+    credited: bool = False
+    tried: list[Engine] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class TypeRow:
+    """One traffic type; only what the module reads."""
+    name: str
+    utility: float
+    slo: int
+    slo_per_1000: int
+    pace: int
+    effect: object
+    group: str
+    window: int
+    mean_stream: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Cluster:
+    """One group of sequences and what was measured of its two paths."""
+    centre: list[float]
+    local: bool
+    tries: dict[bool, float] = field(default_factory=lambda: {True: 0.0, False: 0.0})
+    wins: dict[bool, float] = field(default_factory=lambda: {True: 0.0, False: 0.0})
