Only answers sent since an ejection readmit an engine, one trial at a time

Also covers an engine that answers some and fails most. Harm: a healthy engine that had three failures in a row serves one sequence until its trial is answered.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -119,7 +119,7 @@
             attempt = seq.out
             attempt.started_at = now
             seq.held = False
-            self._good(attempt.engine)
+            self._good(attempt)
             self._change(seq, State.STREAMING, attempt.engine)
         return self._done()
 
@@ -283,7 +283,8 @@
     def _usable(self, seq: Sequence, *roles: Role) -> list[Engine]:
         """Engines of these roles that the rules allow and that are thought well, best known first tried."""
         allowed = [e for e in self.engines.values() if e.role in roles and self._may_send(seq, e)]
-        well = [e for e in allowed if e.eject_until <= self.now]
+        well = [e for e in allowed if e.standing is Standing.TRUSTED
+                or e.standing is Standing.EJECTED and e.eject_until <= self.now]
         if len(well) < (1 - MAX_EJECTED) * len(allowed):
             well = allowed  # most look ill: the fault is shared or this node's own link
         well = [e for e in well if not self._too_cold(e)]
@@ -378,6 +379,8 @@
         seq.attempts.append(attempt)
         seq.out = attempt
         engine.out[attempt] = None
+        if engine.standing is Standing.EJECTED and engine.eject_until <= self.now:
+            self._judged(engine, Standing.ON_TRIAL, f"after {engine.pause // MS} ms")
         engine.sends = [t for t in engine.sends if t > self.now - RATE_WINDOW] + [self.now]
         self._change(seq, State.READING if reads else State.WRITING, engine, time_out=time_out)
 
@@ -432,23 +435,32 @@
             while len(engine.kept) > 4000:
                 del engine.kept[next(iter(engine.kept))]
         if outcome in (Outcome.READ, Outcome.GENERATED):
-            self._good(engine)
+            self._good(attempt)
         elif outcome is Outcome.FULL:
             engine.full_until = self.now + FULL_PAUSE
         elif outcome in ILL and not attempt.started_at:
-            self._failed(engine, outcome)
+            self._failed(attempt, outcome)
 
-    def _good(self, engine: Engine) -> None:
-        engine.failures, engine.last_good, engine.eject_until, engine.pause = 0, self.now, 0, 0
+    def _good(self, attempt: Attempt) -> None:
+        """Only what was sent since an ejection speaks for the engine: older answers would readmit one that fails
+        fast and often, and every node's next sequences would fall into it."""
+        engine = attempt.engine
+        if attempt.sent_at < engine.ejected_at:
+            return
+        engine.failures, engine.eject_until = 0, 0
         if engine.standing is not Standing.TRUSTED:
             self._judged(engine, Standing.TRUSTED, "answered")
+        elif self.now - engine.ejected_at > 2 * LONGEST_PAUSE:
+            engine.pause = 0
 
-    def _failed(self, engine: Engine, outcome: Outcome) -> None:
-        """Failures in a row; growing pauses; a first failure after a pause ejects again."""
+    def _failed(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Failures in a row; growing pauses; a failed trial ejects again."""
+        engine = attempt.engine
         engine.failures += 1
-        if engine.failures >= EJECT_AFTER and self.now >= engine.eject_until:
+        tried = engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at
+        if tried or engine.standing is Standing.TRUSTED and engine.failures >= EJECT_AFTER:
             engine.pause = min(LONGEST_PAUSE, engine.pause * 2 or FIRST_PAUSE)
-            engine.eject_until = self.now + engine.pause
+            engine.ejected_at, engine.eject_until = self.now, self.now + engine.pause
             self._judged(engine, Standing.EJECTED, outcome.value)
 
     def _judged(self, engine: Engine, standing: Standing, reason: str) -> None:
--- a/aniserudder/state.py
+++ b/aniserudder/state.py
@@ -16,9 +16,9 @@
     standing: Standing = Standing.TRUSTED
     failures: int = 0            # in a row
     pause: int = 0               # length of the present ejection
+    ejected_at: int = 0
     eject_until: int = 0
     full_until: int = 0
-    last_good: int = 0
     reading: int = 0             # own prompt tokens out to be read
     streams: int = 0             # own schedule attempts and streams at a writer or mixed engine
     held_tokens: int = 0         # tokens of those
