--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -40,7 +40,7 @@
 # Health.
 EJECT_AFTER = 3                 # failures in a row
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 8 * S
-MAX_EJECTED = 0.5               # of a role; beyond it the fault is taken to be shared
+MAX_EJECTED = 0.5               # of the fleet; beyond it the fault is taken to be shared
 FULL_PAUSE = 200 * MS           # an engine that said 'full' is passed over this long
 # Time-outs.
 READ_PATIENCE = 4.0             # times the expected read
@@ -283,14 +283,19 @@
     def _usable(self, seq: Sequence, *roles: Role) -> list[Engine]:
         """Engines of these roles that the rules allow and that are thought well, best known first tried."""
         allowed = [e for e in self.engines.values() if e.role in roles and self._may_send(seq, e)]
-        well = [e for e in allowed if e.standing is Standing.TRUSTED
-                or e.standing is Standing.EJECTED and e.eject_until <= self.now]
-        if len(well) < (1 - MAX_EJECTED) * len(allowed):
-            well = allowed  # most look ill: the fault is shared or this node's own link
-        well = [e for e in well if not self._too_cold(e)]
+        if not self._shared_fault():
+            allowed = [e for e in allowed if e.standing is Standing.TRUSTED
+                       or e.standing is Standing.EJECTED and e.eject_until <= self.now]
+        well = [e for e in allowed if not self._too_cold(e)]
         fresh = [e for e in well if e not in seq.tried]
         return fresh or well
 
+    def _shared_fault(self) -> bool:
+        """Most of the fleet looks ill: the fault is shared or this node's own link, and ejecting helps nobody.
+        Counted over all roles: with one role gone the other path still serves."""
+        listed = [e for e in self.engines.values() if e.listed]
+        return sum(e.standing is not Standing.TRUSTED for e in listed) > MAX_EJECTED * len(listed)
+
     def _reader(self, seq: Sequence) -> Engine | None:
         """Longest kept beginning, else by hash; the next one when reading there would use up the latency SLO."""
         readers = [e for e in self._usable(seq, Role.READER) if e.full_until <= self.now]
@@ -440,6 +445,8 @@
             engine.full_until = self.now + FULL_PAUSE
         elif outcome in ILL and not attempt.started_at:
             self._failed(attempt, outcome)
+        if engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at:
+            engine.standing = Standing.EJECTED  # the trial told nothing: the next sequence is another
 
     def _good(self, attempt: Attempt) -> None:
         """Only what was sent since an ejection speaks for the engine: older answers would readmit one that fails
