--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -444,7 +444,9 @@
         elif outcome is Outcome.FULL:
             engine.full_until = self.now + FULL_PAUSE
         elif outcome in ILL and not attempt.started_at:
-            self._failed(attempt, outcome)
+            # A time-out at an engine that has answered others since is a queue, not an illness.
+            if outcome is not Outcome.TIMED_OUT or engine.last_good < attempt.sent_at:
+                self._failed(attempt, outcome)
         if engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at:
             engine.standing = Standing.EJECTED  # the trial told nothing: the next sequence is another
 
@@ -452,6 +454,7 @@
         """Only what was sent since an ejection speaks for the engine: older answers would readmit one that fails
         fast and often, and every node's next sequences would fall into it."""
         engine = attempt.engine
+        engine.last_good = self.now
         if attempt.sent_at < engine.ejected_at:
             return
         engine.failures, engine.eject_until = 0, 0
