Turn away at arrival what reading or a late-starting writer would make miss the SLO

Covers any loss of capacity, whatever took it. Harm: a pace learned in a jam turns sequences away until a reader has nothing of this node's out.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -37,14 +37,21 @@
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
 OTHER_RACK, OTHER_ZONE = 1.3, 1.8  # a writer's load counts as this many times when the state has to travel
 LOCAL_ROOM = 1.5                # a writer has room while its load is within this multiple of the least
+# Admission: what cannot be in time is turned away before it costs work.
+ADMIT = 0.8                     # part of the SLO still left that reading may take
+QUICK = 0.4                     # part of the latency SLO within which a writer with room starts an answer
+LIMIT_CUT, LIMIT_STEP = 0.85, 2.0  # a writer's stream limit: cut when it starts late, raised for each full turn
+LIMIT_EVERY = 500 * MS
+LEAST_LIMIT = 3.0
+LESS_ROOM = 0.85                # of the limit, for what is beyond a customer's share or of lower utility
 # Health.
 EJECT_AFTER = 3                 # failures in a row
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 8 * S
 MAX_EJECTED = 0.5               # of the fleet; beyond it the fault is taken to be shared
 FULL_PAUSE = 200 * MS           # an engine that said 'full' is passed over this long
 # Time-outs.
-READ_PATIENCE = 4.0             # times the expected read
-READ_SLO_PART = 0.5             # but at least this part of the latency SLO
+READ_PATIENCE = 3.0             # times the expected read
+READ_SLO_PART = 0.8             # but at least this part of the latency SLO
 # Cold engines.
 COLD_MARGIN = 0.7               # of what cold share and warm peers' rate allow
 RATE_WINDOW = 5 * S
@@ -120,6 +127,7 @@
             attempt.started_at = now
             seq.held = False
             self._good(attempt)
+            self._limit(attempt.engine, now - attempt.sent_at > QUICK * (seq.slo_at - seq.arrived))
             self._change(seq, State.STREAMING, attempt.engine)
         return self._done()
 
@@ -198,18 +206,21 @@
             if seq.cluster is None:
                 features = self._features(seq, reader, writer)
                 seq.cluster = self._nearest(features)
-                seq.local = self._path(seq.cluster, seq.prompt.tokens - self._kept(writer, seq) if writer else 0)
+                seq.local = self._path(seq.cluster, self._left(writer, seq) if writer else 0)
             last = len(seq.attempts) + 1 >= self.settings.max_attempts
-            if writer and (seq.local or last or reader is None):
+            if writer and (seq.local or last or reader is None and self._left(writer, seq) <= NEVER_LOCAL):
                 return self._send(seq, writer)
-            if reader and not last:
+            if reader and not last and self._writer(seq, room=True):
                 return self._send(seq, reader)
             return self._give_up(seq)
-        writer = self._writer(seq)
+        writer = self._writer(seq, room=True) or self._writer(seq, room=False)
         if writer:
             return self._send(seq, writer)
         self._give_up(seq)
 
+    def _left(self, engine: Engine | None, seq: Sequence) -> int:
+        return seq.prompt.tokens - self._kept(engine, seq)
+
     def _features(self, seq: Sequence, reader: Engine | None, writer: Engine | None) -> list[float]:
         n = seq.prompt.tokens
         raw = (n, n - self._kept(reader, seq), n - self._kept(writer, seq), seq.output / max(1, seq.row.pace))
@@ -302,12 +313,19 @@
         key = seq.prompt.shared or seq.prompt.session
         readers.sort(key=lambda e: (-self._kept(e, seq), e.row.zone != self.settings.zone, rank(e, key)))
         limit = SPILL * (seq.slo_at - seq.arrived)
-        return next((e for e in readers if self._read_time(e, seq) <= limit),
+        best = next((e for e in readers if self._read_time(e, seq) <= limit),
                     min(readers, key=lambda e: self._read_time(e, seq), default=None))
+        in_time = best and (not best.reading or self._read_time(best, seq) <= ADMIT * (seq.slo_at - self.now))
+        return best if in_time else None
 
     def _read_time(self, engine: Engine, seq: Sequence) -> float:
         """By the pace seen for own tokens outstanding, in which the other nodes' work shows."""
-        return (engine.read_pace or FIRST_READ_PACE) * (engine.reading + seq.prompt.tokens - self._kept(engine, seq))
+        return (engine.read_pace or FIRST_READ_PACE) * (engine.reading + self._left(engine, seq))
+
+    def _has_room(self, engine: Engine, seq: Sequence) -> bool:
+        most = max(r.utility for r in self.rows.values())
+        part = LESS_ROOM if seq.over_share or seq.row.utility < most else 1.0
+        return engine.full_until <= self.now and (not engine.limit or engine.streams < part * engine.limit)
 
     def _load(self, engine: Engine) -> float:
         """By last report and own sends since, else own streams; set against the listed size."""
@@ -315,17 +333,17 @@
             return (engine.report.values["inflight"] + engine.sent_since + 1) / engine.row.size
         return (engine.streams + 1) / engine.row.size
 
-    def _writer(self, seq: Sequence) -> Engine | None:
+    def _writer(self, seq: Sequence, room: bool) -> Engine | None:
         """Most room; the reader's rack is preferred among writers with like room."""
         def cost(e: Engine) -> float:
             at = seq.reader.row if seq.reader else e.row
             return self._load(e) * (OTHER_ZONE if e.row.zone != at.zone else OTHER_RACK if e.row.rack != at.rack else 1)
-        writers = [e for e in self._usable(seq, Role.WRITER, Role.MIXED) if e.full_until <= self.now]
+        writers = [e for e in self._usable(seq, Role.WRITER, Role.MIXED) if not room or self._has_room(e, seq)]
         return min(writers, key=cost, default=None)
 
     def _local_engine(self, seq: Sequence) -> Engine | None:
         """A writer with room that may read, else a mixed engine, by longest kept beginning."""
-        free = [e for e in self._usable(seq, Role.WRITER, Role.MIXED) if e.full_until <= self.now]
+        free = [e for e in self._usable(seq, Role.WRITER, Role.MIXED) if self._has_room(e, seq)]
         least = min((self._load(e) for e in free), default=0)
         roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least and e.role is Role.WRITER
                  and self.settings.writers_read]
@@ -426,7 +444,7 @@
         if report:
             engine.report, engine.sent_since = report, 0
         took = self.now - attempt.sent_at
-        if outcome is Outcome.READ:
+        if outcome is Outcome.READ or outcome is Outcome.TIMED_OUT and engine.role is Role.READER:
             pace = took / max(1, attempt.queue)
             engine.read_pace += 0.2 * (pace - engine.read_pace) if engine.read_pace else pace
         read_here = outcome is Outcome.READ or outcome is Outcome.GENERATED and attempt.reads
@@ -443,6 +461,7 @@
             self._good(attempt)
         elif outcome is Outcome.FULL:
             engine.full_until = self.now + FULL_PAUSE
+            self._limit(engine, True)
         elif outcome in ILL and not attempt.started_at:
             # A time-out at an engine that has answered others since is a queue, not an illness.
             if outcome is not Outcome.TIMED_OUT or engine.last_good < attempt.sent_at:
@@ -450,6 +469,14 @@
         if engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at:
             engine.standing = Standing.EJECTED  # the trial told nothing: the next sequence is another
 
+    def _limit(self, engine: Engine, late: bool) -> None:
+        """Own streams at a writer, held to what it can start in time. Others' streams show in the starts alone."""
+        if late and self.now - engine.cut_at >= LIMIT_EVERY:
+            engine.cut_at = self.now
+            engine.limit = max(LEAST_LIMIT, LIMIT_CUT * min(engine.limit or engine.streams, engine.streams + 1))
+        elif not late and engine.limit and engine.streams >= engine.limit * LESS_ROOM - 1:
+            engine.limit += LIMIT_STEP / engine.limit
+
     def _good(self, attempt: Attempt) -> None:
         """Only what was sent since an ejection speaks for the engine: older answers would readmit one that fails
         fast and often, and every node's next sequences would fall into it."""
