--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -125,7 +125,7 @@
         if seq and seq.out and seq.out.ordinal == ordinal and seq.state not in FINAL:
             attempt = seq.out
             attempt.started_at = now
-            seq.held = False
+            seq.held = seq.pinned = False
             self._good(attempt)
             self._limit(attempt.engine, now - attempt.sent_at > QUICK * (seq.slo_at - seq.arrived))
             self._change(seq, State.STREAMING, attempt.engine)
@@ -140,15 +140,15 @@
         attempt, engine = seq.out, seq.out.engine
         self._settle(attempt, outcome, kept, report)
         if outcome is Outcome.READ:
-            seq.held, seq.reader = True, engine
+            seq.held, seq.pinned, seq.reader = True, True, engine
         elif outcome is Outcome.NO_STATE:
             seq.held = False
         if seq.state in FINAL:
-            if seq.held:
-                self._change(seq, State.CLEARED, lets_go=True)
+            if seq.pinned:
+                self._change(seq, State.CLEARED)
         elif final or attempt.started_at:
             self._credit(seq, attempt, outcome)
-            self._change(seq, State.GENERATED if outcome is Outcome.GENERATED else State.ABORTED, lets_go=seq.held)
+            self._change(seq, State.GENERATED if outcome is Outcome.GENERATED else State.ABORTED)
         else:
             if outcome not in NEVER_RAN and engine.role is not Role.READER:
                 seq.may_have_run = seq.may_have_run or attempt
@@ -165,8 +165,7 @@
         self.now = now
         seq = self.seqs.get(id)
         if seq and seq.state not in FINAL:
-            held = seq.held and seq.out is None
-            self._change(seq, State.LEFT, lets_go=held)
+            self._change(seq, State.LEFT)
         return self._done()
 
     def probed(self, now: int, id: str, good: bool, report: Report | None) -> list[Change]:
@@ -414,14 +413,18 @@
         state = State.REJECTED if harmless else State.ABORTED
         if seq.attempts:
             self._credit(seq, seq.attempts[-1], Outcome.ERROR)
-        self._change(seq, state, come_back=self.settings.max_come_back if harmless else 0, lets_go=seq.held)
+        self._change(seq, state, come_back=self.settings.max_come_back if harmless else 0)
 
     def _change(self, seq: Sequence, state: State, engine: Engine | None = None, time_out: int = 0,
-                come_back: int = 0, lets_go: bool = False) -> None:
-        """Every state change of a sequence."""
+                come_back: int = 0) -> None:
+        """Every state change of a sequence. What a read left anywhere is let go with the end, and before a new
+        read: 'no state' from a writer that is cut off does not prove that nothing is held elsewhere. A schedule
+        attempt still out keeps its state waiting: then the end of that attempt lets go."""
         seq.state = state
+        sends = state in (State.READING, State.WRITING)
+        lets_go = seq.pinned and (sends and not seq.held or state in FINAL and seq.out is None)
         if lets_go:
-            seq.held = False
+            seq.held = seq.pinned = False
         ordinal = seq.out.ordinal if seq.out else 0
         self.changes.append(SequenceChange(seq.id, state, engine.id if engine else "", ordinal, time_out, come_back,
                                            lets_go))
--- a/aniserudder/state.py
+++ b/aniserudder/state.py
@@ -66,12 +66,12 @@
     attempts: list[Attempt] = field(default_factory=list)
     out: Attempt | None = None
     reader: Engine | None = None  # where the read state waits, or was last made
-    held: bool = False
+    held: bool = False           # a read state is thought to wait for a writer
+    pinned: bool = False         # something may be held for it somewhere
     may_have_run: Attempt | None = None
     cluster: Cluster | None = None
     local: bool = False
     over_share: bool = False
-    credited: bool = False
     tried: list[Engine] = field(default_factory=list)
 
 
