--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,126 @@
+"""Decision traces, each compared with tests/traces/NAME.txt, which people read."""
+from aniserudder.interface import Availability, Outcome
+from story import MS, S, Story
+
+
+def test_ordinary_path():
+    """A long prompt is read remotely, its next turn goes where its beginning is kept, a short one is read locally."""
+    s = Story().arrive("a", session="s").serve("a")
+    s.arrive("b", session="s", tokens=3300).serve("b")
+    s.arrive("c", tokens=200).after(0.1).start("c", 0).after(1).end("c", 0, Outcome.GENERATED, final=True)
+    s.check("ordinary_path")
+
+
+def test_reader_spill():
+    """A hot shared beginning does not jam its reader: the next by hash takes over before the SLO is spent."""
+    s = Story()
+    for i in range(6):
+        s.arrive(f"h{i}", tokens=4000, shared="hot")
+    s.check("reader_spill")
+
+
+def test_forgotten_beginning():
+    s = Story().arrive("a", session="s").serve("a").arrive("b", session="s").after(0.1)
+    reader = next(e for e in s.node.engines.values() if e.kept)
+    s.end("b", 0, Outcome.READ, kept=10)
+    s.lines.append(f"{reader.id} keeps {sorted(reader.kept)}")
+    s.check("forgotten_beginning")
+
+
+def test_once_only_is_not_repeated():
+    """After a writer's doubtful outcome: no further send and no rejection. After proof that it never ran: both."""
+    s = Story().arrive("p", "post").after(0.1).end("p", 0, Outcome.READ).after(0.1).end("p", 1, Outcome.CUT)
+    s.arrive("q", "post").after(0.1).end("q", 0, Outcome.TIMED_OUT).after(0.1).end("q", 1, Outcome.READ)
+    s.after(0.1).end("q", 2, Outcome.NO_ROUTE).after(0.1).end("q", 3, Outcome.FULL)
+    s.check("once_only")
+
+
+def test_tokened_keeps_to_its_group_and_window():
+    s = Story("r1 w1 wx").arrive("t", "mark").after(0.1).end("t", 0, Outcome.READ)
+    s.after(0.1).end("t", 1, Outcome.CUT).after(0.1).end("t", 2, Outcome.ERROR)
+    s.arrive("u", "mark", time_left=20.0).after(0.1).end("u", 0, Outcome.READ)
+    s.after(5.5).end("u", 1, Outcome.TIMED_OUT)
+    s.check("tokened")
+
+
+def test_nothing_stays_pinned():
+    """Let go with a late read after the client left, after 'no state', and with the end of an awaited attempt."""
+    s = Story().arrive("a").leave("a").after(0.1).end("a", 0, Outcome.READ)
+    s.arrive("b").after(0.1).end("b", 0, Outcome.READ).after(0.1).end("b", 1, Outcome.NO_STATE)
+    s.arrive("c").after(0.1).end("c", 0, Outcome.READ).leave("c").after(0.1).end("c", 1, Outcome.FULL)
+    s.check("pinned")
+
+
+def test_drains():
+    s = Story("r1 w1 w2").arrive("a").after(0.1)
+    s.roster("w1", availability=Availability.DRAINING).end("a", 0, Outcome.READ)
+    s.roster("w2", availability=Availability.GONE).arrive("b")
+    s.check("drains")
+
+
+def test_cold_engine():
+    """A cold writer gets its share of what warm ones take, evenly spaced, and nothing before that is known."""
+    s = Story("r1 r2 r3 w1 w2").roster("w3", started=S)
+    for i in range(30):
+        s.arrive(f"c{i}").after(0.1).end(f"c{i}", 0, Outcome.READ)
+    sends = [line.split()[3] for line in s.lines if " writing " in line]
+    s.lines = [" ".join(sends)]
+    s.check("cold_engine")
+
+
+def test_failures_in_a_row():
+    """Three failures eject, older answers do not readmit, one trial does."""
+    s = Story("r1 w1").arrive("old")
+    for i in range(3):
+        s.arrive(f"f{i}", tokens=500).after(0.01).end(f"f{i}", 0, Outcome.ERROR)
+    s.after(0.1).end("old", 0, Outcome.READ).arrive("g").after(1.2).arrive("h").arrive("i")
+    s.after(0.1).end("h", 0, Outcome.READ).arrive("j")
+    s.check("failures_in_a_row")
+
+
+def test_queue_is_not_illness():
+    """Time-outs at an engine that goes on answering others do not eject it."""
+    s = Story("r1 w1")
+    for i in range(4):
+        s.arrive(f"a{i}", tokens=600).arrive(f"b{i}", tokens=600).after(0.5).end(f"b{i}", 0, Outcome.READ)
+        s.after(0.5).end(f"a{i}", 0, Outcome.TIMED_OUT)
+    s.lines = [f"{e.id} {e.standing.value} after {e.failures} failures" for e in s.node.engines.values()]
+    s.check("queue_is_not_illness")
+
+
+def test_admission():
+    """What reading would make miss the SLO is turned away at once, with a time to come back; nothing is queued up."""
+    s = Story("r1 w1", writers_read=False)
+    for i in range(7):
+        s.arrive(f"a{i}", tokens=9000)
+    s.check("admission")
+
+
+def test_writer_limit():
+    """Late starts cut what a writer is given; under that limit the type of lower utility is turned away first."""
+    s = Story("r1 r2 w1")
+    for i in range(8):
+        s.arrive(f"a{i}", "post").after(0.05).end(f"a{i}", 0, Outcome.READ)
+    for i in range(8):
+        s.after(0.6).start(f"a{i}", 1)
+    s.after(1)
+    s.lines = [f"limit {e.limit:.2f} streams {e.streams}" for e in s.node.engines.values() if e.limit]
+    for i in range(4):
+        s.end(f"a{i}", 1, Outcome.GENERATED, final=True)
+    s.arrive("n", "note").arrive("p", "post")
+    s.check("writer_limit")
+
+
+def test_nothing_can_serve():
+    Story("").arrive("a").check("nothing_can_serve")
+
+
+def test_node_beyond_share():
+    """A node's part of a customer's allowance is its share among the nodes."""
+    s = Story(allowances={"big": 4.0})
+    beyond = []
+    for i in range(4):
+        s.arrive(f"a{i}", customer="big")
+        beyond.append(s.node.seqs[f"a{i}"].over_share)
+    s.lines = [str(beyond)]
+    s.check("beyond_share")
