--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -35,6 +35,7 @@
 # Picking engines.
 SPILL = 0.35                    # part of the latency SLO that reading may take before the next reader is tried
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
+READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
 OTHER_RACK, OTHER_ZONE = 1.3, 1.8  # a writer's load counts as this many times when the state has to travel
 LOCAL_ROOM = 1.5                # a writer has room while its load is within this multiple of the least
 # Admission: what cannot be in time is turned away before it costs work.
@@ -319,7 +320,8 @@
 
     def _read_time(self, engine: Engine, seq: Sequence) -> float:
         """By the pace seen for own tokens outstanding, in which the other nodes' work shows."""
-        return (engine.read_pace or FIRST_READ_PACE) * (engine.reading + self._left(engine, seq))
+        return (engine.read_pace or FIRST_READ_PACE) * (
+            engine.reading + READ_OVERHEAD + self._left(engine, seq))
 
     def _has_room(self, engine: Engine, seq: Sequence) -> bool:
         most = max(r.utility for r in self.rows.values())
@@ -382,7 +384,7 @@
     def _send(self, seq: Sequence, engine: Engine) -> None:
         left = seq.abandon_at - self.now
         remainder = 0 if seq.held and engine.role is not Role.READER else max(
-            1, seq.prompt.tokens - self._kept(engine, seq))
+            1, READ_OVERHEAD + self._left(engine, seq))
         reads = engine.role is Role.READER
         more = len(seq.attempts) + 1 < self.settings.max_attempts
         time_out = left
