--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -127,6 +127,7 @@
             attempt = seq.out
             attempt.started_at = now
             seq.held = seq.pinned = False
+            self._read_over(attempt)
             self._good(attempt)
             self._limit(attempt.engine, now - attempt.sent_at > QUICK * (seq.slo_at - seq.arrived))
             self._change(seq, State.STREAMING, attempt.engine)
@@ -208,8 +209,12 @@
                 seq.cluster = self._nearest(features)
                 seq.local = self._path(seq.cluster, self._left(writer, seq) if writer else 0)
             last = len(seq.attempts) + 1 >= self.settings.max_attempts
-            if writer and (seq.local or last or reader is None and self._left(writer, seq) <= NEVER_LOCAL):
+            if writer and (seq.local or last):
                 return self._send(seq, writer)
+            # Where readers are few, mixed engines carry their part: they read what the readers can't in good time.
+            spare = None if reader and self._soon(reader, seq) else self._mixed(seq)
+            if spare:
+                return self._send(seq, spare)
             if reader and not last and self._writer(seq, room=True):
                 return self._send(seq, reader)
             return self._give_up(seq)
@@ -312,12 +317,14 @@
         readers = [e for e in self._usable(seq, Role.READER) if e.full_until <= self.now]
         key = seq.prompt.shared or seq.prompt.session
         readers.sort(key=lambda e: (-self._kept(e, seq), e.row.zone != self.settings.zone, rank(e, key)))
-        limit = SPILL * (seq.slo_at - seq.arrived)
-        best = next((e for e in readers if self._read_time(e, seq) <= limit),
+        best = next((e for e in readers if self._soon(e, seq)),
                     min(readers, key=lambda e: self._read_time(e, seq), default=None))
         in_time = best and (not best.reading or self._read_time(best, seq) <= ADMIT * (seq.slo_at - self.now))
         return best if in_time else None
 
+    def _soon(self, engine: Engine, seq: Sequence) -> bool:
+        return self._read_time(engine, seq) <= SPILL * (seq.slo_at - seq.arrived)
+
     def _read_time(self, engine: Engine, seq: Sequence) -> float:
         """By the pace seen for own tokens outstanding, in which the other nodes' work shows."""
         return (engine.read_pace or FIRST_READ_PACE) * (
@@ -344,12 +351,14 @@
 
     def _local_engine(self, seq: Sequence) -> Engine | None:
         """A writer with room that may read, else a mixed engine, by longest kept beginning."""
-        free = [e for e in self._usable(seq, Role.WRITER, Role.MIXED) if self._has_room(e, seq)]
+        free = [e for e in self._usable(seq, Role.WRITER) if self._has_room(e, seq) and self._soon(e, seq)]
         least = min((self._load(e) for e in free), default=0)
-        roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least and e.role is Role.WRITER
-                 and self.settings.writers_read]
-        return max(roomy or [e for e in free if e.role is Role.MIXED],
-                   key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
+        roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least] if self.settings.writers_read else []
+        return max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None) or self._mixed(seq)
+
+    def _mixed(self, seq: Sequence) -> Engine | None:
+        free = [e for e in self._usable(seq, Role.MIXED) if self._has_room(e, seq) and self._soon(e, seq)]
+        return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
 
@@ -391,13 +400,13 @@
         if reads:
             patience = max(READ_PATIENCE * self._read_time(engine, seq), READ_SLO_PART * (seq.slo_at - seq.arrived))
             time_out = min(left, round(patience))
-            engine.reading += remainder
         else:
             if more and seq.row.effect is not Effect.ONCE_ONLY:
                 time_out = min(left, max(seq.slo_at - seq.arrived, left // 2))
             engine.streams += 1
             engine.sent_since += 1
             engine.held_tokens += seq.prompt.tokens
+        engine.reading += remainder
         attempt = Attempt(seq, engine, len(seq.attempts), self.now, remainder, self._kept(engine, seq),
                           engine.reading, time_out)
         seq.attempts.append(attempt)
@@ -440,18 +449,15 @@
         seq, engine = attempt.seq, attempt.engine
         seq.out = None
         engine.out.pop(attempt, None)
-        if engine.role is Role.READER:
-            engine.reading -= attempt.reads
-        else:
+        if not attempt.started_at:
+            self._read_over(attempt, learn=outcome is Outcome.READ or
+                            outcome is Outcome.TIMED_OUT and engine.role is Role.READER)
+        if engine.role is not Role.READER:
             engine.streams -= 1
             engine.sent_since -= 1
             engine.held_tokens -= seq.prompt.tokens
         if report:
             engine.report, engine.sent_since = report, 0
-        took = self.now - attempt.sent_at
-        if outcome is Outcome.READ or outcome is Outcome.TIMED_OUT and engine.role is Role.READER:
-            pace = took / max(1, attempt.queue)
-            engine.read_pace += 0.2 * (pace - engine.read_pace) if engine.read_pace else pace
         read_here = outcome is Outcome.READ or outcome is Outcome.GENERATED and attempt.reads
         if read_here:
             if attempt.believed > 200 and kept < FORGOT * attempt.believed:
@@ -474,6 +480,13 @@
         if engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at:
             engine.standing = Standing.EJECTED  # the trial told nothing: the next sequence is another
 
+    def _read_over(self, attempt: Attempt, learn: bool = True) -> None:
+        engine = attempt.engine
+        engine.reading -= attempt.reads
+        if learn and attempt.reads:
+            pace = (self.now - attempt.sent_at) / max(1, attempt.queue)
+            engine.read_pace += 0.2 * (pace - engine.read_pace) if engine.read_pace else pace
+
     def _limit(self, engine: Engine, late: bool) -> None:
         """Own streams at a writer, held to what it can start in time. Others' streams show in the starts alone."""
         if late and self.now - engine.cut_at >= LIMIT_EVERY:
