A beginning counts as kept from the send on

Cause: sequences with one beginning that queue behind each other were each counted as a full read. Covers hot beginnings. Harm: if the first read fails, the next is sent to an engine that does not hold it (corrected by its outcome).

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -31,6 +31,7 @@
 STREAM_SLACK = 1.5              # expected outputs are rough
 # Kept beginnings.
 KEPT_FOR = 60 * S
+KEPT_MOST = 4000                # keys an engine
 FORGOT = 0.5                    # found less than this part of what was believed: the engine forgot
 # Picking engines.
 SPILL = 0.35                    # part of the latency SLO that reading may take before the next reader is tried
@@ -296,6 +297,14 @@
                     best = max(best, min(tokens, most))
         return best
 
+    def _keep(self, engine: Engine, seq: Sequence) -> None:
+        for key, tokens in ((seq.prompt.session, seq.prompt.tokens), (seq.prompt.shared, seq.prompt.shared_tokens)):
+            if key and tokens:
+                engine.kept.pop(key, None)
+                engine.kept[key] = (tokens, self.now)
+        while len(engine.kept) > KEPT_MOST:
+            del engine.kept[next(iter(engine.kept))]
+
     def _usable(self, seq: Sequence, *roles: Role) -> list[Engine]:
         """Engines of these roles that the rules allow and that are thought well, best known first tried."""
         allowed = [e for e in self.engines.values() if e.role in roles and self._may_send(seq, e)]
@@ -409,6 +418,8 @@
         engine.reading += remainder
         attempt = Attempt(seq, engine, len(seq.attempts), self.now, remainder, self._kept(engine, seq),
                           engine.reading, time_out)
+        if attempt.reads:
+            self._keep(engine, seq)  # reads go first come first: what is sent next finds this one's beginning
         seq.attempts.append(attempt)
         seq.out = attempt
         engine.out[attempt] = None
@@ -462,12 +473,7 @@
         if read_here:
             if attempt.believed > 200 and kept < FORGOT * attempt.believed:
                 engine.kept.clear()  # flush or restart: it no longer keeps what it kept
-            for key, tokens in ((seq.prompt.session, seq.prompt.tokens), (seq.prompt.shared, seq.prompt.shared_tokens)):
-                if key and tokens:
-                    engine.kept.pop(key, None)
-                    engine.kept[key] = (tokens, self.now)
-            while len(engine.kept) > 4000:
-                del engine.kept[next(iter(engine.kept))]
+            self._keep(engine, seq)
         if outcome in (Outcome.READ, Outcome.GENERATED):
             self._good(attempt)
         elif outcome is Outcome.FULL:
