--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -49,7 +49,7 @@
 # Health.
 EJECT_AFTER = 3                 # failures in a row
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 8 * S
-MAX_EJECTED = 0.5               # of the fleet; beyond it the fault is taken to be shared
+MOST_ILL = 0.5                  # of the fleet ejected: pauses stay short
 FULL_PAUSE = 200 * MS           # an engine that said 'full' is passed over this long
 # Time-outs.
 READ_PATIENCE = 3.0             # times the expected read
@@ -308,19 +308,11 @@
     def _usable(self, seq: Sequence, *roles: Role) -> list[Engine]:
         """Engines of these roles that the rules allow and that are thought well, best known first tried."""
         allowed = [e for e in self.engines.values() if e.role in roles and self._may_send(seq, e)]
-        if not self._shared_fault():
-            allowed = [e for e in allowed if e.standing is Standing.TRUSTED
-                       or e.standing is Standing.EJECTED and e.eject_until <= self.now]
-        well = [e for e in allowed if not self._too_cold(e)]
+        well = [e for e in allowed if not self._too_cold(e) and (
+            e.standing is Standing.TRUSTED or e.standing is Standing.EJECTED and e.eject_until <= self.now)]
         fresh = [e for e in well if e not in seq.tried]
         return fresh or well
 
-    def _shared_fault(self) -> bool:
-        """Most of the fleet looks ill: the fault is shared or this node's own link, and ejecting helps nobody.
-        Counted over all roles: with one role gone the other path still serves."""
-        listed = [e for e in self.engines.values() if e.listed]
-        return sum(e.standing is not Standing.TRUSTED for e in listed) > MAX_EJECTED * len(listed)
-
     def _reader(self, seq: Sequence) -> Engine | None:
         """Longest kept beginning, else by hash; the next one when reading there would use up the latency SLO."""
         readers = [e for e in self._usable(seq, Role.READER) if e.full_until <= self.now]
@@ -520,7 +512,11 @@
         engine.failures += 1
         tried = engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at
         if tried or engine.standing is Standing.TRUSTED and engine.failures >= EJECT_AFTER:
-            engine.pause = min(LONGEST_PAUSE, engine.pause * 2 or FIRST_PAUSE)
+            listed = [e for e in self.engines.values() if e.listed]
+            ill = sum(e.standing is not Standing.TRUSTED for e in listed)
+            # Most of the fleet looks ill: the fault is shared or this node's own link. Try again soon.
+            longest = FIRST_PAUSE if ill > MOST_ILL * len(listed) else LONGEST_PAUSE
+            engine.pause = min(longest, engine.pause * 2 or FIRST_PAUSE)
             engine.ejected_at, engine.eject_until = self.now, self.now + engine.pause
             self._judged(engine, Standing.EJECTED, outcome.value)
 
