--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -218,6 +218,8 @@
                 return self._send(seq, spare)
             if reader and not last and self._writer(seq, room=True):
                 return self._send(seq, reader)
+            if writer:  # no reader in time: a writer with room reads even a long remainder before it is turned away
+                return self._send(seq, writer)
             return self._give_up(seq)
         writer = self._writer(seq, room=True) or self._writer(seq, room=False)
         if writer:
