--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -130,7 +130,7 @@
             seq.held = seq.pinned = False
             self._read_over(attempt)
             self._good(attempt)
-            self._limit(attempt.engine, now - attempt.sent_at > (ADMIT if attempt.reads else QUICK) * (seq.slo_at - seq.arrived))
+            self._limit(attempt.engine, now - attempt.sent_at > QUICK * (seq.slo_at - seq.arrived))
             self._change(seq, State.STREAMING, attempt.engine)
         return self._done()
 
@@ -218,7 +218,7 @@
                 return self._send(seq, spare)
             if reader and not last and self._writer(seq, room=True):
                 return self._send(seq, reader)
-            writer = self._local_engine(seq, ADMIT)
+            writer = writer or self._mixed(seq, ADMIT)
             if writer:  # no reader in time: a writer with room reads even a long remainder before it is turned away
                 return self._send(seq, writer)
             return self._give_up(seq)
@@ -353,12 +353,12 @@
         writers = [e for e in self._usable(seq, Role.WRITER, Role.MIXED) if not room or self._has_room(e, seq)]
         return min(writers, key=cost, default=None)
 
-    def _local_engine(self, seq: Sequence, part: float = SPILL) -> Engine | None:
+    def _local_engine(self, seq: Sequence) -> Engine | None:
         """A writer with room that may read, else a mixed engine, by longest kept beginning."""
-        free = [e for e in self._usable(seq, Role.WRITER) if self._has_room(e, seq) and self._soon(e, seq, part)]
+        free = [e for e in self._usable(seq, Role.WRITER) if self._has_room(e, seq) and self._soon(e, seq)]
         least = min((self._load(e) for e in free), default=0)
         roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least] if self.settings.writers_read else []
-        return max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None) or self._mixed(seq, part)
+        return max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None) or self._mixed(seq)
 
     def _mixed(self, seq: Sequence, part: float = SPILL) -> Engine | None:
         free = [e for e in self._usable(seq, Role.MIXED) if self._has_room(e, seq) and self._soon(e, seq, part)]
