--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -130,7 +130,7 @@
             seq.held = seq.pinned = False
             self._read_over(attempt)
             self._good(attempt)
-            self._limit(attempt.engine, now - attempt.sent_at > QUICK * (seq.slo_at - seq.arrived))
+            self._limit(attempt.engine, now - attempt.sent_at > (ADMIT if attempt.reads else QUICK) * (seq.slo_at - seq.arrived))
             self._change(seq, State.STREAMING, attempt.engine)
         return self._done()
 
@@ -218,7 +218,6 @@
                 return self._send(seq, spare)
             if reader and not last and self._writer(seq, room=True):
                 return self._send(seq, reader)
-            writer = writer or self._mixed(seq, ADMIT)
             if writer:  # no reader in time: a writer with room reads even a long remainder before it is turned away
                 return self._send(seq, writer)
             return self._give_up(seq)
@@ -326,8 +325,8 @@
         in_time = best and (not best.reading or self._read_time(best, seq) <= ADMIT * (seq.slo_at - self.now))
         return best if in_time else None
 
-    def _soon(self, engine: Engine, seq: Sequence, part: float = SPILL) -> bool:
-        return self._read_time(engine, seq) <= part * (seq.slo_at - seq.arrived)
+    def _soon(self, engine: Engine, seq: Sequence) -> bool:
+        return self._read_time(engine, seq) <= SPILL * (seq.slo_at - seq.arrived)
 
     def _read_time(self, engine: Engine, seq: Sequence) -> float:
         """By the pace seen for own tokens outstanding, in which the other nodes' work shows."""
@@ -360,8 +359,8 @@
         roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least] if self.settings.writers_read else []
         return max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None) or self._mixed(seq)
 
-    def _mixed(self, seq: Sequence, part: float = SPILL) -> Engine | None:
-        free = [e for e in self._usable(seq, Role.MIXED) if self._has_room(e, seq) and self._soon(e, seq, part)]
+    def _mixed(self, seq: Sequence) -> Engine | None:
+        free = [e for e in self._usable(seq, Role.MIXED) if self._has_room(e, seq) and self._soon(e, seq)]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
