--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -42,6 +42,7 @@
 # Admission: what cannot be in time is turned away before it costs work.
 ADMIT = 0.8                     # part of the SLO still left that reading may take
 QUICK = 0.4                     # part of the latency SLO within which a writer with room starts an answer
+QUICK_LOCAL = 0.6               # the same where it has to read first
 LIMIT_CUT, LIMIT_STEP = 0.85, 2.0  # a writer's stream limit: cut when it starts late, raised for each full turn
 LIMIT_EVERY = 500 * MS
 LEAST_LIMIT = 3.0
@@ -130,7 +131,7 @@
             seq.held = seq.pinned = False
             self._read_over(attempt)
             self._good(attempt)
-            self._limit(attempt.engine, now - attempt.sent_at > (ADMIT if attempt.reads else QUICK) * (seq.slo_at - seq.arrived))
+            self._limit(attempt.engine, now - attempt.sent_at > (QUICK_LOCAL if attempt.reads else QUICK) * (seq.slo_at - seq.arrived))
             self._change(seq, State.STREAMING, attempt.engine)
         return self._done()
 
