--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -29,6 +29,8 @@
 SHARED_MISS = 0.5               # both paths below this share: the slowness is shared, nothing is learned
 AGEING = 0.9                    # evidence kept from one period to the next
 STREAM_SLACK = 1.5              # expected outputs are rough
+SLOW = 5.0                      # times a type's best mean stream time: the pace is missed (where no hint tells)
+STREAM_STEP, PACE_STEP = 0.05, 0.1
 # Kept beginnings.
 KEPT_FOR = 60 * S
 KEPT_MOST = 4000                # keys an engine
@@ -114,7 +116,7 @@
     def arrived(self, now: int, id: str, prompt: Prompt) -> list[Change]:
         self.now = now
         row = self.rows[prompt.traffic_type]
-        output = prompt.hint or round(row.mean_stream) or row.pace * prompt.max_output // 4
+        output = prompt.hint or round(SLOW * row.best_stream)
         slo = row.slo + row.slo_per_1000 * prompt.tokens // 1000
         seq = Sequence(id, prompt, row, now, now + slo, now + prompt.time_left, output)
         seq.over_share = self._over_share(prompt.customer)
@@ -232,7 +234,7 @@
 
     def _features(self, seq: Sequence, reader: Engine | None, writer: Engine | None) -> list[float]:
         n = seq.prompt.tokens
-        raw = (n, n - self._kept(reader, seq), n - self._kept(writer, seq), seq.output / max(1, seq.row.pace))
+        raw = (n, n - self._kept(reader, seq), n - self._kept(writer, seq), (seq.output or seq.row.pace * seq.prompt.max_output / 4) / max(1, seq.row.pace))
         return [math.log(max(20.0, f)) for f in raw]
 
     def _nearest(self, features: list[float]) -> Cluster:
@@ -279,12 +281,21 @@
         """A sequence counts for the path it was first sent down; bursts beyond a share do not count."""
         stream = self.now - attempt.started_at
         if outcome is Outcome.GENERATED and attempt.started_at:
-            seq.row.mean_stream += 0.05 * (stream - seq.row.mean_stream) if seq.row.mean_stream else stream
+            row, engine = seq.row, attempt.engine
+            row.mean_stream += STREAM_STEP * (stream - row.mean_stream) if row.mean_stream else stream
+            row.streams += 1
+            if row.streams >= 1 / STREAM_STEP:
+                row.best_stream = min(row.best_stream or row.mean_stream, row.mean_stream)
+            # Slow streams cut a writer's limit like late starts: reads between their steps hold answers up.
+            if seq.output:
+                engine.stream_pace += PACE_STEP * (min(3.0, stream / seq.output) - engine.stream_pace)
+                if engine.stream_pace > 1:
+                    self._limit(engine, True)
         if seq.cluster is None or seq.over_share or not seq.attempts:
             return
         local = seq.attempts[0].engine.role is not Role.READER
         won = (outcome is Outcome.GENERATED and 0 < attempt.started_at <= seq.slo_at
-               and stream <= STREAM_SLACK * seq.output)
+               and (not seq.output or stream <= STREAM_SLACK * seq.output))
         seq.cluster.tries[local] += 1
         seq.cluster.wins[local] += won
         seq.cluster = None
@@ -493,7 +504,7 @@
         if late and self.now - engine.cut_at >= LIMIT_EVERY:
             engine.cut_at = self.now
             engine.limit = max(LEAST_LIMIT, LIMIT_CUT * min(engine.limit or engine.streams, engine.streams + 1))
-        elif not late and engine.limit and engine.streams >= engine.limit * LESS_ROOM - 1:
+        elif not late and engine.stream_pace < 1 and engine.limit and engine.streams >= engine.limit * LESS_ROOM - 1:
             engine.limit += LIMIT_STEP / engine.limit
 
     def _good(self, attempt: Attempt) -> None:
--- a/aniserudder/state.py
+++ b/aniserudder/state.py
@@ -87,6 +87,8 @@
     group: str
     window: int
     mean_stream: float = 0.0
+    best_stream: float = 0.0     # lowest mean seen
+    streams: int = 0
 
 
 @dataclass(slots=True, eq=False)
