--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -47,7 +47,7 @@
 QUICK_LOCAL = 0.6               # the same where it has to read first
 LIMIT_CUT, LIMIT_STEP = 0.85, 2.0  # a writer's stream limit: cut when it starts late, raised for each full turn
 LIMIT_EVERY = 500 * MS
-LEAST_LIMIT = 3.0
+LEAST_LIMIT = 6.0
 LESS_ROOM = 0.85                # of the limit, for what is beyond a customer's share or of lower utility
 # Health.
 EJECT_AFTER = 3                 # failures in a row
