--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -467,8 +467,7 @@
         seq.out = None
         engine.out.pop(attempt, None)
         if not attempt.started_at:
-            self._read_over(attempt, learn=outcome is Outcome.READ or
-                            outcome is Outcome.TIMED_OUT and engine.role is Role.READER)
+            self._read_over(attempt, learn=outcome in (Outcome.READ, Outcome.TIMED_OUT))
         if engine.role is not Role.READER:
             engine.streams -= 1
             engine.sent_since -= 1
@@ -486,6 +485,8 @@
             engine.full_until = self.now + FULL_PAUSE
             self._limit(engine, True)
         elif outcome in ILL and not attempt.started_at:
+            if outcome is Outcome.TIMED_OUT and engine.role is not Role.READER:
+                self._limit(engine, True)
             # A time-out at an engine that has answered others since is a queue, not an illness.
             if outcome is not Outcome.TIMED_OUT or engine.last_good < attempt.sent_at:
                 self._failed(attempt, outcome)
