--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -51,7 +51,7 @@
 LESS_ROOM = 0.85                # of the limit, for what is beyond a customer's share or of lower utility
 # Health.
 EJECT_AFTER = 3                 # failures in a row
-FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 8 * S
+FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 3 * S
 MOST_ILL = 0.5                  # of the fleet ejected: pauses stay short
 FULL_PAUSE = 200 * MS           # an engine that said 'full' is passed over this long
 # Time-outs.
