An engine is ejected when three wait unanswered beyond their patience; what may move is called off

Covers hangs, cuts, dead machines that the roster still lists. Harm: a queue that answers nothing for that long is taken for an illness.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -55,6 +55,7 @@
 MOST_ILL = 0.5                  # of the fleet ejected: pauses stay short
 FULL_PAUSE = 200 * MS           # an engine that said 'full' is passed over this long
 # Time-outs.
+SILENT = 0.8                    # part of the latency SLO without any answer that calls an engine silent
 READ_PATIENCE = 3.0             # times the expected read
 READ_SLO_PART = 0.8             # but at least this part of the latency SLO
 # Cold engines.
@@ -185,7 +186,13 @@
 
     def wake(self, now: int) -> list[Change]:
         self.now = now
-        self.wake_at = 0
+        for engine in self.engines.values():
+            # Silent: several wait beyond their patience and nothing at all was answered meanwhile.
+            waiting = [a for a in engine.out if not a.started_at and now - a.sent_at > a.patience
+                       and engine.last_good < a.sent_at]
+            if len(waiting) >= (EJECT_AFTER if engine.standing is Standing.TRUSTED else 1):
+                if engine.standing is not Standing.EJECTED:
+                    self._eject(engine, "silent")
         return self._done()
 
     def _done(self) -> list[Change]:
@@ -409,11 +416,11 @@
         left = seq.abandon_at - self.now
         remainder = 0 if seq.held and engine.role is not Role.READER else max(
             1, READ_OVERHEAD + self._left(engine, seq))
-        reads = engine.role is Role.READER
+        reads, read_time = engine.role is Role.READER, self._read_time(engine, seq) if remainder else 0
         more = len(seq.attempts) + 1 < self.settings.max_attempts
         time_out = left
         if reads:
-            patience = max(READ_PATIENCE * self._read_time(engine, seq), READ_SLO_PART * (seq.slo_at - seq.arrived))
+            patience = max(READ_PATIENCE * read_time, READ_SLO_PART * (seq.slo_at - seq.arrived))
             time_out = min(left, round(patience))
         else:
             if more and seq.row.effect is not Effect.ONCE_ONLY:
@@ -423,7 +430,7 @@
             engine.held_tokens += seq.prompt.tokens
         engine.reading += remainder
         attempt = Attempt(seq, engine, len(seq.attempts), self.now, remainder, self._kept(engine, seq),
-                          engine.reading, time_out)
+                          engine.reading, max(round(SILENT * (seq.slo_at - seq.arrived)), 2 * round(read_time)))
         if attempt.reads:
             self._keep(engine, seq)  # reads go first come first: what is sent next finds this one's beginning
         seq.attempts.append(attempt)
@@ -527,13 +534,22 @@
         engine.failures += 1
         tried = engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at
         if tried or engine.standing is Standing.TRUSTED and engine.failures >= EJECT_AFTER:
-            listed = [e for e in self.engines.values() if e.listed]
-            ill = sum(e.standing is not Standing.TRUSTED for e in listed)
-            # Most of the fleet looks ill: the fault is shared or this node's own link. Try again soon.
-            longest = FIRST_PAUSE if ill > MOST_ILL * len(listed) else LONGEST_PAUSE
-            engine.pause = min(longest, engine.pause * 2 or FIRST_PAUSE)
-            engine.ejected_at, engine.eject_until = self.now, self.now + engine.pause
-            self._judged(engine, Standing.EJECTED, outcome.value)
+            self._eject(engine, outcome.value)
+
+    def _eject(self, engine: Engine, reason: str) -> None:
+        listed = [e for e in self.engines.values() if e.listed]
+        ill = sum(e.standing is not Standing.TRUSTED for e in listed)
+        # Most of the fleet looks ill: the fault is shared or this node's own link. Try again soon.
+        longest = FIRST_PAUSE if ill > MOST_ILL * len(listed) else LONGEST_PAUSE
+        engine.pause = min(longest, engine.pause * 2 or FIRST_PAUSE)
+        engine.ejected_at, engine.eject_until = self.now, self.now + engine.pause
+        self._judged(engine, Standing.EJECTED, reason)
+        # What waits there and may go elsewhere is called off, not left to its time-out.
+        for attempt in list(engine.out) if self.settings.may_recall else ():
+            seq = attempt.seq
+            free = engine.role is Role.READER or seq.row.effect is Effect.REPEATABLE
+            if free and seq.state in (State.READING, State.WRITING) and len(seq.attempts) < self.settings.max_attempts:
+                self._change(seq, State.RECALLING)
 
     def _judged(self, engine: Engine, standing: Standing, reason: str) -> None:
         engine.standing = standing
--- a/aniserudder/state.py
+++ b/aniserudder/state.py
@@ -47,9 +47,8 @@
     reads: int                   # prompt tokens that the engine has to read
     believed: int                # tokens believed kept there
     queue: int                   # own tokens outstanding there when it was sent, these included
-    time_out: int
+    patience: int                # without any answer of the engine, before it is called silent
     started_at: int = 0
-    over: bool = False
 
 
 @dataclass(slots=True, eq=False)
