Nearness weighs 3 and 4.5: a state leaves its rack only for a writer with a third of the load

Covers slow links too. Harm: a rack with few writers fills before others help; its writers' limits then open the rest.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -39,7 +39,7 @@
 SPILL = 0.35                    # part of the latency SLO that reading may take before the next reader is tried
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
-OTHER_RACK, OTHER_ZONE = 1.3, 1.8  # a writer's load counts as this many times when the state has to travel
+OTHER_RACK, OTHER_ZONE = 3.0, 4.5  # a writer's load counts as this many times when the state has to travel
 LOCAL_ROOM = 1.5                # a writer has room while its load is within this multiple of the least
 # Admission: what cannot be in time is turned away before it costs work.
 ADMIT = 0.8                     # part of the SLO still left that reading may take
