--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -39,6 +39,7 @@
 SPILL = 0.35                    # part of the latency SLO that reading may take before the next reader is tried
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
+AWAY_TOKENS = 2500              # a beginning kept in another zone counts as so much shorter
 OTHER_RACK, OTHER_ZONE = 3.0, 4.5  # a writer's load counts as this many times when the state has to travel
 LOCAL_ROOM = 1.5                # a writer has room while its load is within this multiple of the least
 # Admission: what cannot be in time is turned away before it costs work.
@@ -338,7 +339,8 @@
         """Longest kept beginning, else by hash; the next one when reading there would use up the latency SLO."""
         readers = [e for e in self._usable(seq, Role.READER) if e.full_until <= self.now]
         key = seq.prompt.shared or seq.prompt.session
-        readers.sort(key=lambda e: (-self._kept(e, seq), e.row.zone != self.settings.zone, rank(e, key)))
+        away = {e: e.row.zone != self.settings.zone for e in readers}
+        readers.sort(key=lambda e: (AWAY_TOKENS * away[e] - self._kept(e, seq), away[e], rank(e, key)))
         best = next((e for e in readers if self._soon(e, seq)),
                     min(readers, key=lambda e: self._read_time(e, seq), default=None))
         in_time = best and (not best.reading or self._read_time(best, seq) <= ADMIT * (seq.slo_at - self.now))
