--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -58,7 +58,7 @@
 # Time-outs.
 SILENT = 0.8                    # part of the latency SLO without any answer that calls an engine silent
 READ_PATIENCE = 3.0             # times the expected read
-READ_SLO_PART = 0.8             # but at least this part of the latency SLO
+READ_SLO_PART = 0.5             # but at least this part of the latency SLO
 # Cold engines.
 COLD_MARGIN = 0.7               # of what cold share and warm peers' rate allow
 RATE_WINDOW = 5 * S
