--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -58,7 +58,9 @@
 # Time-outs.
 SILENT = 0.8                    # part of the latency SLO without any answer that calls an engine silent
 READ_PATIENCE = 3.0             # times the expected read
-READ_SLO_PART = 0.5             # but at least this part of the latency SLO
+READ_SLO_PART = 0.8             # but at least this part of the latency SLO
+WRITE_PATIENCE = 6.0            # times the usual wait for a first token
+WRITE_SLO_PART = 0.6            # but at least this part of the latency SLO
 # Cold engines.
 COLD_MARGIN = 0.7               # of what cold share and warm peers' rate allow
 RATE_WINDOW = 5 * S
@@ -94,6 +96,7 @@
         self.scan = 0             # the half period of the scan that runs; past the last, epsilon trials
         self.period_end = 0
         self.trials = 0.0         # trials that may still be made
+        self.first_wait = 0.0     # usual wait for a first token after a remote read
         self.buckets: dict[str, tuple[float, int]] = {}
 
     # What happens, as told by the host.
@@ -133,6 +136,8 @@
             attempt = seq.out
             attempt.started_at = now
             seq.held = seq.pinned = False
+            if not attempt.reads:
+                self.first_wait += PACE_STEP * (now - attempt.sent_at - self.first_wait)
             self._read_over(attempt)
             self._good(attempt)
             self._limit(attempt.engine, now - attempt.sent_at > (QUICK_LOCAL if attempt.reads else QUICK) * (seq.slo_at - seq.arrived))
@@ -426,7 +431,8 @@
             time_out = min(left, round(patience))
         else:
             if more and seq.row.effect is not Effect.ONCE_ONLY:
-                time_out = min(left, max(seq.slo_at - seq.arrived, left // 2))
+                usual = round(WRITE_PATIENCE * (self.first_wait if not remainder else read_time))
+                time_out = min(left, max(round(WRITE_SLO_PART * (seq.slo_at - seq.arrived)), usual))
             engine.streams += 1
             engine.sent_since += 1
             engine.held_tokens += seq.prompt.tokens
@@ -496,6 +502,7 @@
         elif outcome in ILL and not attempt.started_at:
             if outcome is Outcome.TIMED_OUT and engine.role is not Role.READER:
                 self._limit(engine, True)
+                self.first_wait += PACE_STEP * (self.now - attempt.sent_at - self.first_wait)
             # A time-out at an engine that has answered others since is a queue, not an illness.
             if outcome is not Outcome.TIMED_OUT or engine.last_good < attempt.sent_at:
                 self._failed(attempt, outcome)
