--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -49,6 +49,7 @@
 LIMIT_CUT, LIMIT_STEP = 0.85, 2.0  # a writer's stream limit: cut when it starts late, raised for each full turn
 LIMIT_EVERY = 500 * MS
 LEAST_LIMIT = 6.0
+FULL_MEMORY = 0.85              # share of a writer's memory, by its report, from which on it has no room
 LESS_ROOM = 0.85                # of the limit, for what is beyond a customer's share or of lower utility
 # Health.
 EJECT_AFTER = 3                 # failures in a row
@@ -59,8 +60,6 @@
 SILENT = 0.8                    # part of the latency SLO without any answer that calls an engine silent
 READ_PATIENCE = 3.0             # times the expected read
 READ_SLO_PART = 0.8             # but at least this part of the latency SLO
-WRITE_PATIENCE = 6.0            # times the usual wait for a first token
-WRITE_SLO_PART = 0.6            # but at least this part of the latency SLO
 # Cold engines.
 COLD_MARGIN = 0.7               # of what cold share and warm peers' rate allow
 RATE_WINDOW = 5 * S
@@ -96,7 +95,6 @@
         self.scan = 0             # the half period of the scan that runs; past the last, epsilon trials
         self.period_end = 0
         self.trials = 0.0         # trials that may still be made
-        self.first_wait = 0.0     # usual wait for a first token after a remote read
         self.buckets: dict[str, tuple[float, int]] = {}
 
     # What happens, as told by the host.
@@ -136,8 +134,6 @@
             attempt = seq.out
             attempt.started_at = now
             seq.held = seq.pinned = False
-            if not attempt.reads:
-                self.first_wait += PACE_STEP * (now - attempt.sent_at - self.first_wait)
             self._read_over(attempt)
             self._good(attempt)
             self._limit(attempt.engine, now - attempt.sent_at > (QUICK_LOCAL if attempt.reads else QUICK) * (seq.slo_at - seq.arrived))
@@ -362,11 +358,17 @@
     def _has_room(self, engine: Engine, seq: Sequence) -> bool:
         most = max(r.utility for r in self.rows.values())
         part = LESS_ROOM if seq.over_share or seq.row.utility < most else 1.0
+        held = engine.report.values.get("x0", 0.0) if self._heard(engine) else 0.0
+        if held > FULL_MEMORY:  # past it, its newest answers go back into its queue and are read anew
+            return False
         return engine.full_until <= self.now and (not engine.limit or engine.streams < part * engine.limit)
 
+    def _heard(self, engine: Engine) -> bool:
+        return engine.report is not None and self.now - engine.report.at < 3 * PROBE_EVERY
+
     def _load(self, engine: Engine) -> float:
         """By last report and own sends since, else own streams; set against the listed size."""
-        if engine.report and "inflight" in engine.report.values and self.now - engine.report.at < 3 * PROBE_EVERY:
+        if self._heard(engine) and "inflight" in engine.report.values:
             return (engine.report.values["inflight"] + engine.sent_since + 1) / engine.row.size
         return (engine.streams + 1) / engine.row.size
 
@@ -431,8 +433,7 @@
             time_out = min(left, round(patience))
         else:
             if more and seq.row.effect is not Effect.ONCE_ONLY:
-                usual = round(WRITE_PATIENCE * (self.first_wait if not remainder else read_time))
-                time_out = min(left, max(round(WRITE_SLO_PART * (seq.slo_at - seq.arrived)), usual))
+                time_out = min(left, max(seq.slo_at - seq.arrived, left // 2))
             engine.streams += 1
             engine.sent_since += 1
             engine.held_tokens += seq.prompt.tokens
@@ -502,7 +503,6 @@
         elif outcome in ILL and not attempt.started_at:
             if outcome is Outcome.TIMED_OUT and engine.role is not Role.READER:
                 self._limit(engine, True)
-                self.first_wait += PACE_STEP * (self.now - attempt.sent_at - self.first_wait)
             # A time-out at an engine that has answered others since is a queue, not an illness.
             if outcome is not Outcome.TIMED_OUT or engine.last_good < attempt.sent_at:
                 self._failed(attempt, outcome)
