--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -47,9 +47,7 @@
 QUICK = 0.4                     # part of the latency SLO within which a writer with room starts an answer
 QUICK_LOCAL = 0.6               # the same where it has to read first
 LIMIT_CUT, LIMIT_STEP = 0.85, 2.0  # a writer's stream limit: cut when it starts late, raised for each full turn
-LIMIT_EVERY = 500 * MS
 LEAST_LIMIT = 6.0
-FULL_MEMORY = 0.85              # share of a writer's memory, by its report, from which on it has no room
 LESS_ROOM = 0.85                # of the limit, for what is beyond a customer's share or of lower utility
 # Health.
 EJECT_AFTER = 3                 # failures in a row
@@ -136,7 +134,7 @@
             seq.held = seq.pinned = False
             self._read_over(attempt)
             self._good(attempt)
-            self._limit(attempt.engine, now - attempt.sent_at > (QUICK_LOCAL if attempt.reads else QUICK) * (seq.slo_at - seq.arrived))
+            self._limit(attempt, now - attempt.sent_at > (QUICK_LOCAL if attempt.reads else QUICK) * (seq.slo_at - seq.arrived))
             self._change(seq, State.STREAMING, attempt.engine)
         return self._done()
 
@@ -299,7 +297,7 @@
             if seq.output:
                 engine.stream_pace += PACE_STEP * (min(3.0, stream / seq.output) - engine.stream_pace)
                 if engine.stream_pace > 1:
-                    self._limit(engine, True)
+                    self._limit(attempt, True)
         if seq.cluster is None or seq.over_share or not seq.attempts:
             return
         local = seq.attempts[0].engine.role is not Role.READER
@@ -358,17 +356,11 @@
     def _has_room(self, engine: Engine, seq: Sequence) -> bool:
         most = max(r.utility for r in self.rows.values())
         part = LESS_ROOM if seq.over_share or seq.row.utility < most else 1.0
-        held = engine.report.values.get("x0", 0.0) if self._heard(engine) else 0.0
-        if held > FULL_MEMORY:  # past it, its newest answers go back into its queue and are read anew
-            return False
         return engine.full_until <= self.now and (not engine.limit or engine.streams < part * engine.limit)
 
-    def _heard(self, engine: Engine) -> bool:
-        return engine.report is not None and self.now - engine.report.at < 3 * PROBE_EVERY
-
     def _load(self, engine: Engine) -> float:
         """By last report and own sends since, else own streams; set against the listed size."""
-        if self._heard(engine) and "inflight" in engine.report.values:
+        if engine.report and "inflight" in engine.report.values and self.now - engine.report.at < 3 * PROBE_EVERY:
             return (engine.report.values["inflight"] + engine.sent_since + 1) / engine.row.size
         return (engine.streams + 1) / engine.row.size
 
@@ -499,10 +491,10 @@
             self._good(attempt)
         elif outcome is Outcome.FULL:
             engine.full_until = self.now + FULL_PAUSE
-            self._limit(engine, True)
+            self._limit(attempt, True)
         elif outcome in ILL and not attempt.started_at:
             if outcome is Outcome.TIMED_OUT and engine.role is not Role.READER:
-                self._limit(engine, True)
+                self._limit(attempt, True)
             # A time-out at an engine that has answered others since is a queue, not an illness.
             if outcome is not Outcome.TIMED_OUT or engine.last_good < attempt.sent_at:
                 self._failed(attempt, outcome)
@@ -516,9 +508,11 @@
             pace = (self.now - attempt.sent_at) / max(1, attempt.queue)
             engine.read_pace += 0.2 * (pace - engine.read_pace) if engine.read_pace else pace
 
-    def _limit(self, engine: Engine, late: bool) -> None:
-        """Own streams at a writer, held to what it can start in time. Others' streams show in the starts alone."""
-        if late and self.now - engine.cut_at >= LIMIT_EVERY:
+    def _limit(self, attempt: Attempt, late: bool) -> None:
+        """Own streams at a writer, held to what it can start in time. Others' streams show in the starts alone.
+        What was sent before a cut says nothing against the new limit: one jam is one cut."""
+        engine = attempt.engine
+        if late and attempt.sent_at > engine.cut_at:
             engine.cut_at = self.now
             engine.limit = max(LEAST_LIMIT, LIMIT_CUT * min(engine.limit or engine.streams, engine.streams + 1))
         elif not late and engine.stream_pace < 1 and engine.limit and engine.streams >= engine.limit * LESS_ROOM - 1:
