--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -23,7 +23,7 @@
 NEVER_LOCAL = 2000              # no local read of a longer remainder while a reader can be had
 CENTROID_STEP = 0.01            # how far a centroid moves towards each member
 PERIOD = 5 * S                  # length of each half of a scan
-EPSILON = 0.05                  # trials: at most this share of the sequences
+EPSILON = 0.0                   # trials: at most this share of the sequences
 MIN_SAMPLES = 8                 # of each path before a bit may flip
 FLIP_MARGIN = 0.1               # by which the other path must be better
 SHARED_MISS = 0.5               # both paths below this share: the slowness is shared, nothing is learned
@@ -47,6 +47,7 @@
 QUICK = 0.4                     # part of the latency SLO within which a writer with room starts an answer
 QUICK_LOCAL = 0.6               # the same where it has to read first
 LIMIT_CUT, LIMIT_STEP = 0.85, 2.0  # a writer's stream limit: cut when it starts late, raised for each full turn
+LIMIT_EVERY = 500 * MS
 LEAST_LIMIT = 6.0
 LESS_ROOM = 0.85                # of the limit, for what is beyond a customer's share or of lower utility
 # Health.
@@ -134,7 +135,7 @@
             seq.held = seq.pinned = False
             self._read_over(attempt)
             self._good(attempt)
-            self._limit(attempt, now - attempt.sent_at > (QUICK_LOCAL if attempt.reads else QUICK) * (seq.slo_at - seq.arrived))
+            self._limit(attempt.engine, now - attempt.sent_at > (QUICK_LOCAL if attempt.reads else QUICK) * (seq.slo_at - seq.arrived))
             self._change(seq, State.STREAMING, attempt.engine)
         return self._done()
 
@@ -297,7 +298,7 @@
             if seq.output:
                 engine.stream_pace += PACE_STEP * (min(3.0, stream / seq.output) - engine.stream_pace)
                 if engine.stream_pace > 1:
-                    self._limit(attempt, True)
+                    self._limit(engine, True)
         if seq.cluster is None or seq.over_share or not seq.attempts:
             return
         local = seq.attempts[0].engine.role is not Role.READER
@@ -491,10 +492,10 @@
             self._good(attempt)
         elif outcome is Outcome.FULL:
             engine.full_until = self.now + FULL_PAUSE
-            self._limit(attempt, True)
+            self._limit(engine, True)
         elif outcome in ILL and not attempt.started_at:
             if outcome is Outcome.TIMED_OUT and engine.role is not Role.READER:
-                self._limit(attempt, True)
+                self._limit(engine, True)
             # A time-out at an engine that has answered others since is a queue, not an illness.
             if outcome is not Outcome.TIMED_OUT or engine.last_good < attempt.sent_at:
                 self._failed(attempt, outcome)
@@ -508,11 +509,9 @@
             pace = (self.now - attempt.sent_at) / max(1, attempt.queue)
             engine.read_pace += 0.2 * (pace - engine.read_pace) if engine.read_pace else pace
 
-    def _limit(self, attempt: Attempt, late: bool) -> None:
-        """Own streams at a writer, held to what it can start in time. Others' streams show in the starts alone.
-        What was sent before a cut says nothing against the new limit: one jam is one cut."""
-        engine = attempt.engine
-        if late and attempt.sent_at > engine.cut_at:
+    def _limit(self, engine: Engine, late: bool) -> None:
+        """Own streams at a writer, held to what it can start in time. Others' streams show in the starts alone."""
+        if late and self.now - engine.cut_at >= LIMIT_EVERY:
             engine.cut_at = self.now
             engine.limit = max(LEAST_LIMIT, LIMIT_CUT * min(engine.limit or engine.streams, engine.streams + 1))
         elif not late and engine.stream_pace < 1 and engine.limit and engine.streams >= engine.limit * LESS_ROOM - 1:
