--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -36,7 +36,8 @@
 KEPT_MOST = 4000                # keys an engine
 FORGOT = 0.5                    # found less than this part of what was believed: the engine forgot
 # Picking engines.
-SPILL = 0.35                    # part of the latency SLO that reading may take before the next reader is tried
+SPILL = 0.5                     # part of the latency SLO that reading may take before the next reader is tried
+LOCAL_SOON = 0.25               # the same for a local read
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
 AWAY_TOKENS = 2500              # a beginning kept in another zone counts as so much shorter
@@ -224,7 +225,7 @@
             if writer and (seq.local or last):
                 return self._send(seq, writer)
             # Where readers are few, mixed engines carry their part: they read what the readers can't in good time.
-            spare = None if reader and self._soon(reader, seq) else self._mixed(seq)
+            spare = None if reader and self._soon(reader, seq, SPILL) else self._mixed(seq)
             if spare:
                 return self._send(seq, spare)
             if reader and not last and self._writer(seq, room=True):
@@ -341,13 +342,13 @@
         key = seq.prompt.shared or seq.prompt.session
         away = {e: e.row.zone != self.settings.zone for e in readers}
         readers.sort(key=lambda e: (AWAY_TOKENS * away[e] - self._kept(e, seq), away[e], rank(e, key)))
-        best = next((e for e in readers if self._soon(e, seq)),
+        best = next((e for e in readers if self._soon(e, seq, SPILL)),
                     min(readers, key=lambda e: self._read_time(e, seq), default=None))
         in_time = best and (not best.reading or self._read_time(best, seq) <= ADMIT * (seq.slo_at - self.now))
         return best if in_time else None
 
-    def _soon(self, engine: Engine, seq: Sequence) -> bool:
-        return self._read_time(engine, seq) <= SPILL * (seq.slo_at - seq.arrived)
+    def _soon(self, engine: Engine, seq: Sequence, part: float) -> bool:
+        return self._read_time(engine, seq) <= part * (seq.slo_at - seq.arrived)
 
     def _read_time(self, engine: Engine, seq: Sequence) -> float:
         """By the pace seen for own tokens outstanding, in which the other nodes' work shows."""
@@ -375,13 +376,15 @@
 
     def _local_engine(self, seq: Sequence) -> Engine | None:
         """A writer with room that may read, else a mixed engine, by longest kept beginning."""
-        free = [e for e in self._usable(seq, Role.WRITER) if self._has_room(e, seq) and self._soon(e, seq)]
+        free = [e for e in self._usable(seq, Role.WRITER)
+                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
         least = min((self._load(e) for e in free), default=0)
         roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least] if self.settings.writers_read else []
         return max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None) or self._mixed(seq)
 
     def _mixed(self, seq: Sequence) -> Engine | None:
-        free = [e for e in self._usable(seq, Role.MIXED) if self._has_room(e, seq) and self._soon(e, seq)]
+        free = [e for e in self._usable(seq, Role.MIXED)
+                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
