--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -37,7 +37,7 @@
 FORGOT = 0.5                    # found less than this part of what was believed: the engine forgot
 # Picking engines.
 SPILL = 0.5                     # part of the latency SLO that reading may take before the next reader is tried
-LOCAL_SOON = 0.15               # the same for a local read
+LOCAL_SOON = 0.2                # the same for a local read
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
 AWAY_TOKENS = 2500              # a beginning kept in another zone counts as so much shorter
