--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -38,6 +38,7 @@
 # Picking engines.
 SPILL = 0.5                     # part of the latency SLO that reading may take before the next reader is tried
 LOCAL_SOON = 0.2                # the same for a local read
+MIXED_SOON = 0.35               # the same for a mixed engine that helps readers out
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
 AWAY_TOKENS = 2500              # a beginning kept in another zone counts as so much shorter
@@ -225,7 +226,7 @@
             if writer and (seq.local or last):
                 return self._send(seq, writer)
             # Where readers are few, mixed engines carry their part: they read what the readers can't in good time.
-            spare = None if reader and self._soon(reader, seq, SPILL) else self._mixed(seq)
+            spare = None if reader and self._soon(reader, seq, SPILL) else self._mixed(seq, MIXED_SOON)
             if spare:
                 return self._send(seq, spare)
             if reader and not last and self._writer(seq, room=True):
@@ -380,11 +381,11 @@
                 if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
         least = min((self._load(e) for e in free), default=0)
         roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least] if self.settings.writers_read else []
-        return max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None) or self._mixed(seq)
+        return max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None) or self._mixed(seq, LOCAL_SOON)
 
-    def _mixed(self, seq: Sequence) -> Engine | None:
+    def _mixed(self, seq: Sequence, part: float) -> Engine | None:
         free = [e for e in self._usable(seq, Role.MIXED)
-                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
+                if self._has_room(e, seq) and self._soon(e, seq, part)]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
