--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -38,7 +38,6 @@
 # Picking engines.
 SPILL = 0.5                     # part of the latency SLO that reading may take before the next reader is tried
 LOCAL_SOON = 0.2                # the same for a local read
-MIXED_SOON = 0.35               # the same for a mixed engine that helps readers out
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
 AWAY_TOKENS = 2500              # a beginning kept in another zone counts as so much shorter
@@ -62,7 +61,8 @@
 READ_PATIENCE = 3.0             # times the expected read
 READ_SLO_PART = 0.8             # but at least this part of the latency SLO
 # Cold engines.
-COLD_MARGIN = 0.7               # of what cold share and warm peers' rate allow
+COLD_GROWTH = 0.6               # part of the way to warm that is trusted as the time passes
+COLD_MARGIN = 1.0               # of what cold share and warm peers' rate allow
 RATE_WINDOW = 5 * S
 PROBE_EVERY = 1 * S
 TICK = 100 * MS
@@ -226,7 +226,7 @@
             if writer and (seq.local or last):
                 return self._send(seq, writer)
             # Where readers are few, mixed engines carry their part: they read what the readers can't in good time.
-            spare = None if reader and self._soon(reader, seq, SPILL) else self._mixed(seq, MIXED_SOON)
+            spare = None if reader and self._soon(reader, seq, SPILL) else self._mixed(seq)
             if spare:
                 return self._send(seq, spare)
             if reader and not last and self._writer(seq, room=True):
@@ -381,11 +381,11 @@
                 if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
         least = min((self._load(e) for e in free), default=0)
         roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least] if self.settings.writers_read else []
-        return max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None) or self._mixed(seq, LOCAL_SOON)
+        return max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None) or self._mixed(seq)
 
-    def _mixed(self, seq: Sequence, part: float) -> Engine | None:
+    def _mixed(self, seq: Sequence) -> Engine | None:
         free = [e for e in self._usable(seq, Role.MIXED)
-                if self._has_room(e, seq) and self._soon(e, seq, part)]
+                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
@@ -415,7 +415,8 @@
         rates = [sum(t > since for t in e.sends) / e.row.size for e in warm]
         if not rates or not sum(rates):
             return True
-        gap = RATE_WINDOW / (COLD_MARGIN * self.settings.cold_share * engine.row.size * sum(rates) / len(rates))
+        share = max(self.settings.cold_share, COLD_GROWTH * age / self.settings.cold_time)
+        gap = RATE_WINDOW / (COLD_MARGIN * share * engine.row.size * sum(rates) / len(rates))
         return self.now - max(engine.row.started_at, engine.sends[-1] if engine.sends else 0) < gap
 
     def _send(self, seq: Sequence, engine: Engine) -> None:
