Cold engines are measured by what warm ones of their kind took last

Covers restarts of a whole rack. Harm: a rate measured at a busy time is more than a weaker replacement may bear; the multiple covers that.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -96,6 +96,7 @@
         self.scan = 0             # the half period of the scan that runs; past the last, epsilon trials
         self.period_end = 0
         self.trials = 0.0         # trials that may still be made
+        self.warm_rates: dict[str, float] = {}  # by kind: sends in RATE_WINDOW to a warm engine of size 1
         self.buckets: dict[str, tuple[float, int]] = {}
 
     # What happens, as told by the host.
@@ -413,10 +414,14 @@
         warm = [e for e in self.engines.values() if e.row.kind == engine.row.kind and e.listed and e is not engine
                 and (not e.row.started_at or self.now - e.row.started_at >= self.settings.cold_time)]
         rates = [sum(t > since for t in e.sends) / e.row.size for e in warm]
-        if not rates or not sum(rates):
-            return True
+        if sum(rates):
+            self.warm_rates[engine.row.kind] = sum(rates) / len(rates)
+        # A release can replace every warm engine of a kind: what they took last stays the measure. A node that
+        # never saw a warm one sends its part of one sequence a window.
+        rate = self.warm_rates.get(engine.row.kind)
         share = max(self.settings.cold_share, COLD_GROWTH * age / self.settings.cold_time)
-        gap = RATE_WINDOW / (COLD_MARGIN * share * engine.row.size * sum(rates) / len(rates))
+        gap = RATE_WINDOW / (COLD_MARGIN * share * engine.row.size * rate) if rate else (
+            self.settings.nodes * self.settings.fall_window)
         return self.now - max(engine.row.started_at, engine.sends[-1] if engine.sends else 0) < gap
 
     def _send(self, seq: Sequence, engine: Engine) -> None:
