--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -415,7 +415,8 @@
                 and (not e.row.started_at or self.now - e.row.started_at >= self.settings.cold_time)]
         rates = [sum(t > since for t in e.sends) / e.row.size for e in warm]
         if sum(rates):
-            self.warm_rates[engine.row.kind] = sum(rates) / len(rates)
+            rate = sum(rates) / len(rates)
+            self.warm_rates[engine.row.kind] = max(rate, self.warm_rates.get(engine.row.kind, 0.0))
         # A release can replace every warm engine of a kind: what they took last stays the measure. A node that
         # never saw a warm one sends its part of one sequence a window.
         rate = self.warm_rates.get(engine.row.kind)
