--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -54,7 +54,7 @@
 # Health.
 EJECT_AFTER = 3                 # failures in a row
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 3 * S
-MOST_ILL = 0.5                  # of the fleet ejected: pauses stay short
+MOST_ILL = 0.5                  # of a role: beyond it slowness is taken to be shared
 FULL_PAUSE = 200 * MS           # an engine that said 'full' is passed over this long
 # Time-outs.
 SILENT = 0.8                    # part of the latency SLO without any answer that calls an engine silent
@@ -196,7 +196,7 @@
                        and engine.last_good < a.sent_at]
             if len(waiting) >= (EJECT_AFTER if engine.standing is Standing.TRUSTED else 1):
                 if engine.standing is not Standing.EJECTED:
-                    self._eject(engine, "silent")
+                    self._eject(engine, "silent", slow=True)
         return self._done()
 
     def _done(self) -> list[Change]:
@@ -547,13 +547,16 @@
         engine.failures += 1
         tried = engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at
         if tried or engine.standing is Standing.TRUSTED and engine.failures >= EJECT_AFTER:
-            self._eject(engine, outcome.value)
-
-    def _eject(self, engine: Engine, reason: str) -> None:
-        listed = [e for e in self.engines.values() if e.listed]
-        ill = sum(e.standing is not Standing.TRUSTED for e in listed)
-        # Most of the fleet looks ill: the fault is shared or this node's own link. Try again soon.
-        longest = FIRST_PAUSE if ill > MOST_ILL * len(listed) else LONGEST_PAUSE
+            self._eject(engine, outcome.value, slow=outcome is Outcome.TIMED_OUT)
+
+    def _eject(self, engine: Engine, reason: str, slow: bool) -> None:
+        listed = [e for e in self.engines.values() if e.listed and e.role is engine.role]
+        ill = sum(e.standing is not Standing.TRUSTED for e in listed if e is not engine) + 1
+        most = ill > MOST_ILL * len(listed)
+        if most and slow:
+            return  # most of a role is slow: the slowness is shared, and ejecting would drown the rest
+        # Most of a role fails outright: the fault may be this node's own link. Try again soon.
+        longest = FIRST_PAUSE if most else LONGEST_PAUSE
         engine.pause = min(longest, engine.pause * 2 or FIRST_PAUSE)
         engine.ejected_at, engine.eject_until = self.now, self.now + engine.pause
         self._judged(engine, Standing.EJECTED, reason)
