--- a/aniserudder/interface.py
+++ b/aniserudder/interface.py
@@ -45,7 +45,6 @@
     READING = "reading"      # a schedule attempt is out at a reader
     READ = "read"            # the read state waits at the reader, no schedule attempt is out
     WRITING = "writing"      # a schedule attempt is out at a writer or mixed engine, no token yet
-    RECALLING = "recalling"  # that schedule attempt was called off, its outcome is awaited
     STREAMING = "streaming"  # the answer has started
     GENERATED = "generated"
     REJECTED = "rejected"
@@ -91,7 +90,6 @@
     roles: dict[str, Role]
     memory: dict[str, int]
     writers_read: bool
-    may_recall: bool
     may_probe: bool
     report_fields: tuple[str, ...]
     max_attempts: int
--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -54,10 +54,7 @@
 # Health.
 EJECT_AFTER = 3                 # failures in a row
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 3 * S
-MOST_ILL = 0.5                  # of a role: beyond it slowness is taken to be shared
-FULL_PAUSE = 200 * MS           # an engine that said 'full' is passed over this long
 # Time-outs.
-SILENT = 0.8                    # part of the latency SLO without any answer that calls an engine silent
 READ_PATIENCE = 3.0             # times the expected read
 READ_SLO_PART = 0.8             # but at least this part of the latency SLO
 # Cold engines.
@@ -190,13 +187,6 @@
 
     def wake(self, now: int) -> list[Change]:
         self.now = now
-        for engine in self.engines.values():
-            # Silent: several wait beyond their patience and nothing at all was answered meanwhile.
-            waiting = [a for a in engine.out if not a.started_at and now - a.sent_at > a.patience
-                       and engine.last_good < a.sent_at]
-            if len(waiting) >= (EJECT_AFTER if engine.standing is Standing.TRUSTED else 1):
-                if engine.standing is not Standing.EJECTED:
-                    self._eject(engine, "silent", slow=True)
         return self._done()
 
     def _done(self) -> list[Change]:
@@ -340,7 +330,7 @@
 
     def _reader(self, seq: Sequence) -> Engine | None:
         """Longest kept beginning, else by hash; the next one when reading there would use up the latency SLO."""
-        readers = [e for e in self._usable(seq, Role.READER) if e.full_until <= self.now]
+        readers = self._usable(seq, Role.READER)
         key = seq.prompt.shared or seq.prompt.session
         away = {e: e.row.zone != self.settings.zone for e in readers}
         readers.sort(key=lambda e: (AWAY_TOKENS * away[e] - self._kept(e, seq), away[e], rank(e, key)))
@@ -360,7 +350,7 @@
     def _has_room(self, engine: Engine, seq: Sequence) -> bool:
         most = max(r.utility for r in self.rows.values())
         part = LESS_ROOM if seq.over_share or seq.row.utility < most else 1.0
-        return engine.full_until <= self.now and (not engine.limit or engine.streams < part * engine.limit)
+        return not engine.limit or engine.streams < part * engine.limit
 
     def _load(self, engine: Engine) -> float:
         """By last report and own sends since, else own streams; set against the listed size."""
@@ -443,7 +433,7 @@
             engine.held_tokens += seq.prompt.tokens
         engine.reading += remainder
         attempt = Attempt(seq, engine, len(seq.attempts), self.now, remainder, self._kept(engine, seq),
-                          engine.reading, max(round(SILENT * (seq.slo_at - seq.arrived)), 2 * round(read_time)))
+                          engine.reading)
         if attempt.reads:
             self._keep(engine, seq)  # reads go first come first: what is sent next finds this one's beginning
         seq.attempts.append(attempt)
@@ -502,7 +492,6 @@
         if outcome in (Outcome.READ, Outcome.GENERATED):
             self._good(attempt)
         elif outcome is Outcome.FULL:
-            engine.full_until = self.now + FULL_PAUSE
             self._limit(engine, True)
         elif outcome in ILL and not attempt.started_at:
             if outcome is Outcome.TIMED_OUT and engine.role is not Role.READER:
@@ -547,25 +536,9 @@
         engine.failures += 1
         tried = engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at
         if tried or engine.standing is Standing.TRUSTED and engine.failures >= EJECT_AFTER:
-            self._eject(engine, outcome.value, slow=outcome is Outcome.TIMED_OUT)
-
-    def _eject(self, engine: Engine, reason: str, slow: bool) -> None:
-        listed = [e for e in self.engines.values() if e.listed and e.role is engine.role]
-        ill = sum(e.standing is not Standing.TRUSTED for e in listed if e is not engine) + 1
-        most = ill > MOST_ILL * len(listed)
-        if most and slow:
-            return  # most of a role is slow: the slowness is shared, and ejecting would drown the rest
-        # Most of a role fails outright: the fault may be this node's own link. Try again soon.
-        longest = FIRST_PAUSE if most else LONGEST_PAUSE
-        engine.pause = min(longest, engine.pause * 2 or FIRST_PAUSE)
-        engine.ejected_at, engine.eject_until = self.now, self.now + engine.pause
-        self._judged(engine, Standing.EJECTED, reason)
-        # What waits there and may go elsewhere is called off, not left to its time-out.
-        for attempt in list(engine.out) if self.settings.may_recall else ():
-            seq = attempt.seq
-            free = engine.role is Role.READER or seq.row.effect is Effect.REPEATABLE
-            if free and seq.state in (State.READING, State.WRITING) and len(seq.attempts) < self.settings.max_attempts:
-                self._change(seq, State.RECALLING)
+            engine.pause = min(LONGEST_PAUSE, engine.pause * 2 or FIRST_PAUSE)
+            engine.ejected_at, engine.eject_until = self.now, self.now + engine.pause
+            self._judged(engine, Standing.EJECTED, outcome.value)
 
     def _judged(self, engine: Engine, standing: Standing, reason: str) -> None:
         engine.standing = standing
--- a/aniserudder/simhost.py
+++ b/aniserudder/simhost.py
@@ -48,7 +48,7 @@
         nodes=max(1, info.get("balancers", 1)), zone=info.get("zone", ""), zones=tuple(info.get("dcs", [])), types=types,
         roles={k: ROLES.get(d, Role.UNKNOWN) for k, d in zip(kinds, duties)},
         memory=dict(zip(kinds, fam.get("memory-tokens", []))), writers_read=bool(fam.get("self-prefill")),
-        may_recall=bool(bounds.get("cancelling")), may_probe=bool(bounds.get("probing")),
+        may_probe=bool(bounds.get("probing")),
         report_fields=tuple(feedback.get("columns", []) if feedback.get("how") != "silent" else ()),
         max_attempts=bounds.get("max-attempts", 1),
         max_come_back=micros(bounds.get("max-retry-after")) if bounds.get("retry-after") else 0,
@@ -128,8 +128,6 @@
         match change.state:
             case State.READING | State.WRITING:
                 done.append(self.act("send", **ref, engine=change.engine, **{"give-up-after": change.time_out / 1e6}))
-            case State.RECALLING:
-                done.append(self.act("call-off", **ref, leg=change.ordinal))
             case State.REJECTED:
                 done.append(self.act("turn-away", **ref, **{"stay-away": change.come_back / 1e6}))
             case State.ABORTED:
--- a/aniserudder/state.py
+++ b/aniserudder/state.py
@@ -21,7 +21,6 @@
     limit: float = 0.0           # own streams it can start in time; 0: not met yet
     cut_at: int = 0
     last_good: int = 0
-    full_until: int = 0
     reading: int = 0             # own prompt tokens out to be read
     streams: int = 0             # own schedule attempts and streams at a writer or mixed engine
     held_tokens: int = 0         # tokens of those
@@ -47,7 +46,6 @@
     reads: int                   # prompt tokens that the engine has to read
     believed: int                # tokens believed kept there
     queue: int                   # own tokens outstanding there when it was sent, these included
-    patience: int                # without any answer of the engine, before it is called silent
     started_at: int = 0
 
 
--- a/tests/story.py
+++ b/tests/story.py
@@ -16,7 +16,7 @@
     base = dict(nodes=2, zone="east", zones=("east", "west"),
                 types=(of("note", 1, Effect.REPEATABLE), of("post", 3, Effect.ONCE_ONLY), of("mark", 2, Effect.TOKENED)),
                 roles={"r": Role.READER, "w": Role.WRITER, "m": Role.MIXED}, memory={}, writers_read=True,
-                may_recall=True, may_probe=False, report_fields=(), max_attempts=4, max_come_back=S,
+                may_probe=False, report_fields=(), max_attempts=4, max_come_back=S,
                 drain_grace=500 * MS, cold_share=0.3, cold_time=10 * S, fall_multiple=2.5, fall_window=S,
                 let_go_time=300 * MS, allowances={}, over_share_utility=0.1)
     return Settings(**{**base, **changes})
