--- a/aniserudder/interface.py
+++ b/aniserudder/interface.py
@@ -71,10 +71,8 @@
 class TypeSettings:
     name: str
     utility: float
-    late_utility: float
     latency_slo: int
     slo_per_1000_tokens: int
-    abandon_time: int
     token_pace: int
     effect: Effect
     repeat_group: str  # tokened: the engines that drop repeats: "all", "zone" or "cell"
@@ -85,23 +83,18 @@
 class Settings:
     nodes: int
     zone: str
-    zones: tuple[str, ...]
     types: tuple[TypeSettings, ...]
     roles: dict[str, Role]
-    memory: dict[str, int]
     writers_read: bool
     may_probe: bool
     report_fields: tuple[str, ...]
     max_attempts: int
     max_come_back: int  # 0: clients are given no come-back time
-    drain_grace: int
     cold_share: float
     cold_time: int
     fall_multiple: float
     fall_window: int
-    let_go_time: int
     allowances: dict[str, float]  # customer: sequences a second inside its share, over all nodes
-    over_share_utility: float
 
 
 @dataclass(slots=True, frozen=True)
@@ -127,8 +120,6 @@
     hint: int  # rough time of the answer at the type's pace; 0: none
     time_left: int
     customer: str = ""
-    is_retry: bool = False
-    resumes: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -45,7 +45,7 @@
 LOCAL_ROOM = 1.5                # a writer has room while its load is within this multiple of the least
 # Admission: what cannot be in time is turned away before it costs work.
 ADMIT = 0.8                     # part of the SLO still left that reading may take
-QUICK = 0.4                     # part of the latency SLO within which a writer with room starts an answer
+QUICK = 0.25                    # part of the latency SLO within which a writer with room starts an answer
 QUICK_LOCAL = 0.6               # the same where it has to read first
 LIMIT_CUT, LIMIT_STEP = 0.85, 2.0  # a writer's stream limit: cut when it starts late, raised for each full turn
 LIMIT_EVERY = 500 * MS
@@ -59,10 +59,9 @@
 READ_SLO_PART = 0.8             # but at least this part of the latency SLO
 # Cold engines.
 COLD_GROWTH = 0.6               # part of the way to warm that is trusted as the time passes
-COLD_MARGIN = 1.0               # of what cold share and warm peers' rate allow
+COLD_MARGIN = 0.4               # of what the fall multiple, cold share and warm peers' rate allow
 RATE_WINDOW = 5 * S
 PROBE_EVERY = 1 * S
-TICK = 100 * MS
 
 NEVER_RAN = {Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.READ}
 ILL = {Outcome.ERROR, Outcome.TIMED_OUT, Outcome.NO_ROUTE, Outcome.CUT}
@@ -117,7 +116,8 @@
 
     def arrived(self, now: int, id: str, prompt: Prompt) -> list[Change]:
         self.now = now
-        row = self.rows[prompt.traffic_type]
+        row = self.rows.setdefault(prompt.traffic_type, TypeRow(  # a type the settings do not name: take no risk
+            prompt.traffic_type, 0.0, prompt.time_left // 2, 0, 0, Effect.ONCE_ONLY, "", 0))
         output = prompt.hint or round(SLOW * row.best_stream)
         slo = row.slo + row.slo_per_1000 * prompt.tokens // 1000
         seq = Sequence(id, prompt, row, now, now + slo, now + prompt.time_left, output)
@@ -197,7 +197,7 @@
                         and self.now - engine.probed_at >= PROBE_EVERY):
                     engine.probing, engine.probed_at = True, self.now
                     self.changes.append(EngineChange(engine.id, Standing.SAMPLED, probe=True))
-        self.wake_at = self.now + TICK if self.seqs else 0
+            self.wake_at = self.now + PROBE_EVERY if self.seqs else 0
         changes, self.changes = self.changes, []
         return changes
 
@@ -411,7 +411,7 @@
         # never saw a warm one sends its part of one sequence a window.
         rate = self.warm_rates.get(engine.row.kind)
         share = max(self.settings.cold_share, COLD_GROWTH * age / self.settings.cold_time)
-        gap = RATE_WINDOW / (COLD_MARGIN * share * engine.row.size * rate) if rate else (
+        gap = RATE_WINDOW / (COLD_MARGIN * self.settings.fall_multiple * share * engine.row.size * rate) if rate else (
             self.settings.nodes * self.settings.fall_window)
         return self.now - max(engine.row.started_at, engine.sends[-1] if engine.sends else 0) < gap
 
@@ -430,7 +430,6 @@
                 time_out = min(left, max(seq.slo_at - seq.arrived, left // 2))
             engine.streams += 1
             engine.sent_since += 1
-            engine.held_tokens += seq.prompt.tokens
         engine.reading += remainder
         attempt = Attempt(seq, engine, len(seq.attempts), self.now, remainder, self._kept(engine, seq),
                           engine.reading)
@@ -481,7 +480,6 @@
         if engine.role is not Role.READER:
             engine.streams -= 1
             engine.sent_since -= 1
-            engine.held_tokens -= seq.prompt.tokens
         if report:
             engine.report, engine.sent_since = report, 0
         read_here = outcome is Outcome.READ or outcome is Outcome.GENERATED and attempt.reads
--- a/aniserudder/simhost.py
+++ b/aniserudder/simhost.py
@@ -37,26 +37,24 @@
     paces = fam.get("token-aim") or [0] * len(services)
     kinds, duties = info.get("kinds", []), fam.get("duty-by-kind", [])
     types = tuple(
-        TypeSettings(s["name"], s.get("points", 1.0), s.get("late-worth", 0.0), micros(s.get("goal-time")),
-                     round(stretch[i]) if i < len(stretch) else 0, micros(s.get("deadline")),
-                     micros(paces[i]) if i < len(paces) else 0,
+        TypeSettings(s["name"], s.get("points", 1.0), micros(s.get("goal-time")),
+                     round(stretch[i]) if i < len(stretch) else 0, micros(paces[i]) if i < len(paces) else 0,
                      EFFECTS.get(s.get("semantics", ""), Effect.ONCE_ONLY), s.get("group", "all"),
                      micros(s.get("window")))
         for i, s in enumerate(services))
     feedback = info.get("feedback", {})
     return Settings(
-        nodes=max(1, info.get("balancers", 1)), zone=info.get("zone", ""), zones=tuple(info.get("dcs", [])), types=types,
+        nodes=max(1, info.get("balancers", 1)), zone=info.get("zone", ""), types=types,
         roles={k: ROLES.get(d, Role.UNKNOWN) for k, d in zip(kinds, duties)},
-        memory=dict(zip(kinds, fam.get("memory-tokens", []))), writers_read=bool(fam.get("self-prefill")),
+        writers_read=bool(fam.get("self-prefill")),
         may_probe=bool(bounds.get("probing")),
         report_fields=tuple(feedback.get("columns", []) if feedback.get("how") != "silent" else ()),
         max_attempts=bounds.get("max-attempts", 1),
         max_come_back=micros(bounds.get("max-retry-after")) if bounds.get("retry-after") else 0,
-        drain_grace=micros(rules.get("drain-grace")), cold_share=rules.get("cold-share", 0.0),
+        cold_share=rules.get("cold-share", 0.0),
         cold_time=micros(rules.get("cold")), fall_multiple=rules.get("fall-multiple", 1.0),
-        fall_window=micros(rules.get("fall")), let_go_time=micros(fam.get("let-go-by")),
-        allowances={o["name"]: o.get("allowance-per-s", 0.0) for o in info.get("orgs", [])},
-        over_share_utility=info.get("over-share-worth", 1.0))
+        fall_window=micros(rules.get("fall")),
+        allowances={o["name"]: o.get("allowance-per-s", 0.0) for o in info.get("orgs", [])})
 
 
 def decode_row(row: dict[str, Any]) -> RosterRow:
@@ -69,7 +67,7 @@
     tenant = m.get("tenant") or ""
     return Prompt(m["type"], m.get("talk") or "", m.get("system-prompt") or "", round(m.get("input-len") or 0),
                   round(m.get("shared-len") or 0), round(m.get("output-cap") or 0), micros(m.get("predicted")),
-                  micros(m["grace"]), str(tenant), bool(m.get("is-retry")), bool(m.get("reconnect")))
+                  micros(m["grace"]), str(tenant))
 
 
 class Instance:
--- a/aniserudder/state.py
+++ b/aniserudder/state.py
@@ -23,7 +23,6 @@
     last_good: int = 0
     reading: int = 0             # own prompt tokens out to be read
     streams: int = 0             # own schedule attempts and streams at a writer or mixed engine
-    held_tokens: int = 0         # tokens of those
     read_pace: float = 0.0       # observed read time for each own token outstanding; 0: not seen
     first_pace: float = 0.0      # observed time to a first token at a writer; 0: not seen
     stream_pace: float = 0.0     # observed stream time over the expected one; 0: not seen
--- a/tests/story.py
+++ b/tests/story.py
@@ -12,13 +12,13 @@
 
 def settings(**changes) -> Settings:
     def of(name, utility, effect):
-        return TypeSettings(name, utility, 0.1, 1500 * MS, 40 * MS, 6 * S, 60 * MS, effect, "zone", 5 * S)
-    base = dict(nodes=2, zone="east", zones=("east", "west"),
+        return TypeSettings(name, utility, 1500 * MS, 40 * MS, 60 * MS, effect, "zone", 5 * S)
+    base = dict(nodes=2, zone="east",
                 types=(of("note", 1, Effect.REPEATABLE), of("post", 3, Effect.ONCE_ONLY), of("mark", 2, Effect.TOKENED)),
-                roles={"r": Role.READER, "w": Role.WRITER, "m": Role.MIXED}, memory={}, writers_read=True,
+                roles={"r": Role.READER, "w": Role.WRITER, "m": Role.MIXED}, writers_read=True,
                 may_probe=False, report_fields=(), max_attempts=4, max_come_back=S,
-                drain_grace=500 * MS, cold_share=0.3, cold_time=10 * S, fall_multiple=2.5, fall_window=S,
-                let_go_time=300 * MS, allowances={}, over_share_utility=0.1)
+                cold_share=0.3, cold_time=10 * S, fall_multiple=2.5, fall_window=S,
+                allowances={})
     return Settings(**{**base, **changes})
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,5 +1,5 @@
 """Decision traces, each compared with tests/traces/NAME.txt, which people read."""
-from aniserudder.interface import Availability, Outcome
+from aniserudder.interface import Availability, Outcome, Report
 from story import MS, S, Story
 
 
@@ -99,14 +99,14 @@
 def test_writer_limit():
     """Late starts cut what a writer is given; under that limit the type of lower utility is turned away first."""
     s = Story("r1 r2 w1")
-    for i in range(8):
+    for i in range(12):
         s.arrive(f"a{i}", "post").after(0.05).end(f"a{i}", 0, Outcome.READ)
-    for i in range(8):
+    for i in range(2):
         s.after(0.6).start(f"a{i}", 1)
     s.after(1)
     s.lines = [f"limit {e.limit:.2f} streams {e.streams}" for e in s.node.engines.values() if e.limit]
     for i in range(4):
-        s.end(f"a{i}", 1, Outcome.GENERATED, final=True)
+        s.end(f"a{i}", 1, Outcome.FULL if i > 1 else Outcome.GENERATED, final=True)
     s.arrive("n", "note").arrive("p", "post")
     s.check("writer_limit")
 
@@ -124,3 +124,26 @@
         beyond.append(s.node.seqs[f"a{i}"].over_share)
     s.lines = [str(beyond)]
     s.check("beyond_share")
+
+
+def test_a_type_that_settings_do_not_name():
+    Story().arrive("a", "odd").after(0.1).end("a", 0, Outcome.READ).after(0.1).end("a", 1, Outcome.CUT).check("unknown_type")
+
+
+def test_mixed_engines_help_readers_out():
+    """Where the readers cannot read soon, a mixed engine reads even a long remainder."""
+    s = Story("r1 m1 m2")
+    for i in range(5):
+        s.arrive(f"a{i}", tokens=3600)
+    s.check("mixed_help")
+
+
+def test_load_reports():
+    """The writer with most room by its report, less own sends since; asked for once a second."""
+    s = Story("r1 w1 w2", may_probe=True, report_fields=("inflight",)).arrive("a").after(0.1)
+    for name, held in (("w1", 9.0), ("w2", 8.0)):
+        s.show(f"probed {name} {held}", s.node.probed(s.now, name, True, Report(s.now, {"inflight": held})))
+    s.arrive("b").arrive("c").after(0.1)
+    for id in "abc":
+        s.end(id, 0, Outcome.READ)
+    s.check("load_reports")
