--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -21,24 +21,28 @@
 GRID_KEPT = 0.9                 # the part kept in the second of each pair
 LOCAL_BELOW = 1000              # bits start local below this many writer-side tokens
 NEVER_LOCAL = 2000              # no local read of a longer remainder while a reader can be had
+FIRST_OUTPUT, OUTPUT_PART = 100, 0.25  # expected tokens: of the first centroids; part of the output limit
+LEAST_TOKENS, LEAST_VARIANCE = 20.0, 0.05  # floors of a feature and of its spread
 CENTROID_STEP = 0.01            # how far a centroid moves towards each member
 PERIOD = 5 * S                  # length of each half of a scan
-EPSILON = 0.05                  # trials: at most this share of the sequences
+EPSILON, MOST_TRIALS = 0.05, 3.0  # trials: at most this share of the sequences, and so many saved up
 MIN_SAMPLES = 8                 # of each path before a bit may flip
 FLIP_MARGIN = 0.1               # by which the other path must be better
 SHARED_MISS = 0.5               # both paths below this share: the slowness is shared, nothing is learned
 AGEING = 0.9                    # evidence kept from one period to the next
 STREAM_SLACK = 1.5              # expected outputs are rough
-SLOW = 5.0                      # times a type's best mean stream time: the pace is missed (where no hint tells)
+SLOW = 5.0                      # times a type's best mean stream time: the pace is missed (without a hint)
 STREAM_STEP, PACE_STEP = 0.05, 0.1
 # Kept beginnings.
 KEPT_FOR = 60 * S
 KEPT_MOST = 4000                # keys an engine
+LEAST_BELIEVED = 200            # below this a shorter find tells nothing
 FORGOT = 0.5                    # found less than this part of what was believed: the engine forgot
 # Picking engines.
-SPILL = 0.5                     # part of the latency SLO that reading may take before the next reader is tried
+SPILL = 0.5                     # part of the latency SLO that a read may take before the next reader is tried
 LOCAL_SOON = 0.2                # the same for a local read
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
+READ_STEP = 0.2                 # weight of the last read in an engine's pace
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
 AWAY_TOKENS = 2500              # a beginning kept in another zone counts as so much shorter
 OTHER_RACK, OTHER_ZONE = 3.0, 4.5  # a writer's load counts as this many times when the state has to travel
@@ -47,7 +51,7 @@
 ADMIT = 0.8                     # part of the SLO still left that reading may take
 QUICK = 0.25                    # part of the latency SLO within which a writer with room starts an answer
 QUICK_LOCAL = 0.6               # the same where it has to read first
-LIMIT_CUT, LIMIT_STEP = 0.85, 2.0  # a writer's stream limit: cut when it starts late, raised for each full turn
+LIMIT_CUT, LIMIT_STEP = 0.85, 2.0  # a writer's stream limit: cut for a late start, raised by a full turn
 LIMIT_EVERY = 500 * MS
 LEAST_LIMIT = 6.0
 LESS_ROOM = 0.85                # of the limit, for what is beyond a customer's share or of lower utility
@@ -84,11 +88,12 @@
         self.changes: list[Change] = []
         self.engines: dict[str, Engine] = {}
         self.seqs: dict[str, Sequence] = {}
-        self.rows = {t.name: TypeRow(t.name, t.utility, t.latency_slo, t.slo_per_1000_tokens, t.token_pace, t.effect,
-                                     t.repeat_group, t.repeat_window) for t in settings.types}
-        self.clusters = [Cluster([math.log(n), math.log(left), math.log(left), math.log(100)], left < LOCAL_BELOW)
+        self.rows = {t.name: TypeRow(t.name, t.utility, t.latency_slo, t.slo_per_1000_tokens, t.token_pace,
+                                     t.effect, t.repeat_group, t.repeat_window) for t in settings.types}
+        self.clusters = [Cluster([math.log(f) for f in (n, left, left, FIRST_OUTPUT)], left < LOCAL_BELOW)
                          for n in GRID for left in (n, n * (1 - GRID_KEPT))]
-        self.feature_mean, self.feature_var = [math.log(1500), math.log(700), math.log(700), math.log(100)], [1.0] * 4
+        middle = [c.centre for c in self.clusters]
+        self.feature_mean, self.feature_var = [sum(f) / len(middle) for f in zip(*middle)], [1.0] * 4
         self.scan = 0             # the half period of the scan that runs; past the last, epsilon trials
         self.period_end = 0
         self.trials = 0.0         # trials that may still be made
@@ -116,7 +121,7 @@
 
     def arrived(self, now: int, id: str, prompt: Prompt) -> list[Change]:
         self.now = now
-        row = self.rows.setdefault(prompt.traffic_type, TypeRow(  # a type the settings do not name: take no risk
+        row = self.rows.setdefault(prompt.traffic_type, TypeRow(  # a type that settings do not name: no risk
             prompt.traffic_type, 0.0, prompt.time_left // 2, 0, 0, Effect.ONCE_ONLY, "", 0))
         output = prompt.hint or round(SLOW * row.best_stream)
         slo = row.slo + row.slo_per_1000 * prompt.tokens // 1000
@@ -135,7 +140,8 @@
             seq.held = seq.pinned = False
             self._read_over(attempt)
             self._good(attempt)
-            self._limit(attempt.engine, now - attempt.sent_at > (QUICK_LOCAL if attempt.reads else QUICK) * (seq.slo_at - seq.arrived))
+            part = QUICK_LOCAL if attempt.reads else QUICK
+            self._limit(attempt.engine, now - attempt.sent_at > part * (seq.slo_at - seq.arrived))
             self._change(seq, State.STREAMING, attempt.engine)
         return self._done()
 
@@ -205,7 +211,8 @@
 
     def _route(self, seq: Sequence) -> None:
         """From arrival to the writer. Also takes a sequence on after a schedule attempt that failed."""
-        if self.now >= seq.abandon_at or len(seq.attempts) >= self.settings.max_attempts or not self._repeats(seq):
+        more = self.settings.max_attempts - len(seq.attempts)
+        if self.now >= seq.abandon_at or more <= 0 or not self._repeats(seq):
             return self._give_up(seq)
         if not seq.held:
             writer, reader = self._local_engine(seq), self._reader(seq)
@@ -213,16 +220,16 @@
                 features = self._features(seq, reader, writer)
                 seq.cluster = self._nearest(features)
                 seq.local = self._path(seq.cluster, self._left(writer, seq) if writer else 0)
-            last = len(seq.attempts) + 1 >= self.settings.max_attempts
+            last = more == 1
             if writer and (seq.local or last):
                 return self._send(seq, writer)
-            # Where readers are few, mixed engines carry their part: they read what the readers can't in good time.
+            # Where readers are few, mixed engines carry their part: they read what readers can't in time.
             spare = None if reader and self._soon(reader, seq, SPILL) else self._mixed(seq)
             if spare:
                 return self._send(seq, spare)
             if reader and not last and self._writer(seq, room=True):
                 return self._send(seq, reader)
-            if writer:  # no reader in time: a writer with room reads even a long remainder before it is turned away
+            if writer:  # no reader in time: a writer with room reads even a long remainder before a refusal
                 return self._send(seq, writer)
             return self._give_up(seq)
         writer = self._writer(seq, room=True) or self._writer(seq, room=False)
@@ -234,16 +241,16 @@
         return seq.prompt.tokens - self._kept(engine, seq)
 
     def _features(self, seq: Sequence, reader: Engine | None, writer: Engine | None) -> list[float]:
-        n = seq.prompt.tokens
-        raw = (n, n - self._kept(reader, seq), n - self._kept(writer, seq), (seq.output or seq.row.pace * seq.prompt.max_output / 4) / max(1, seq.row.pace))
-        return [math.log(max(20.0, f)) for f in raw]
+        output = (seq.output or OUTPUT_PART * seq.row.pace * seq.prompt.max_output) / max(1, seq.row.pace)
+        raw = (seq.prompt.tokens, self._left(reader, seq), self._left(writer, seq), output)
+        return [math.log(max(LEAST_TOKENS, f)) for f in raw]
 
     def _nearest(self, features: list[float]) -> Cluster:
         for i, f in enumerate(features):
             off = f - self.feature_mean[i]
             self.feature_mean[i] += CENTROID_STEP * off
             self.feature_var[i] += CENTROID_STEP * (off * off - self.feature_var[i])
-        best = min(self.clusters, key=lambda c: sum((f - x) ** 2 / max(v, 0.05) for f, x, v in
+        best = min(self.clusters, key=lambda c: sum((f - x) ** 2 / max(v, LEAST_VARIANCE) for f, x, v in
                                                     zip(features, c.centre, self.feature_var)))
         best.centre = [x + CENTROID_STEP * (f - x) for f, x in zip(features, best.centre)]
         return best
@@ -255,7 +262,7 @@
             self.period_end = self.now + PERIOD
             for c in self.clusters:
                 self._judge(c)
-        self.trials = min(3.0, self.trials + EPSILON)
+        self.trials = min(MOST_TRIALS, self.trials + EPSILON)
         scanned, half = divmod(self.scan, 2)
         local = cluster.local
         if scanned < len(self.clusters):
@@ -303,17 +310,21 @@
 
     # Picking engines.
 
+    def _keys(self, seq: Sequence) -> tuple[tuple[str, int], tuple[str, int]]:
+        prompt = seq.prompt
+        return (prompt.session, prompt.tokens), (prompt.shared, prompt.shared_tokens)
+
     def _kept(self, engine: Engine | None, seq: Sequence) -> int:
         best = 0
         if engine:
-            for key, most in ((seq.prompt.session, seq.prompt.tokens), (seq.prompt.shared, seq.prompt.shared_tokens)):
+            for key, most in self._keys(seq):
                 tokens, at = engine.kept.get(key, (0, 0)) if key else (0, 0)
                 if self.now - at < KEPT_FOR:
                     best = max(best, min(tokens, most))
         return best
 
     def _keep(self, engine: Engine, seq: Sequence) -> None:
-        for key, tokens in ((seq.prompt.session, seq.prompt.tokens), (seq.prompt.shared, seq.prompt.shared_tokens)):
+        for key, tokens in self._keys(seq):
             if key and tokens:
                 engine.kept.pop(key, None)
                 engine.kept[key] = (tokens, self.now)
@@ -329,7 +340,7 @@
         return fresh or well
 
     def _reader(self, seq: Sequence) -> Engine | None:
-        """Longest kept beginning, else by hash; the next one when reading there would use up the latency SLO."""
+        """Longest kept beginning, else by hash; the next one when that would use up the latency SLO."""
         readers = self._usable(seq, Role.READER)
         key = seq.prompt.shared or seq.prompt.session
         away = {e: e.row.zone != self.settings.zone for e in readers}
@@ -354,16 +365,19 @@
 
     def _load(self, engine: Engine) -> float:
         """By last report and own sends since, else own streams; set against the listed size."""
-        if engine.report and "inflight" in engine.report.values and self.now - engine.report.at < 3 * PROBE_EVERY:
-            return (engine.report.values["inflight"] + engine.sent_since + 1) / engine.row.size
+        report = engine.report
+        if report and "inflight" in report.values and self.now - report.at < 3 * PROBE_EVERY:
+            return (report.values["inflight"] + engine.sent_since + 1) / engine.row.size
         return (engine.streams + 1) / engine.row.size
 
     def _writer(self, seq: Sequence, room: bool) -> Engine | None:
         """Most room; the reader's rack is preferred among writers with like room."""
         def cost(e: Engine) -> float:
             at = seq.reader.row if seq.reader else e.row
-            return self._load(e) * (OTHER_ZONE if e.row.zone != at.zone else OTHER_RACK if e.row.rack != at.rack else 1)
-        writers = [e for e in self._usable(seq, Role.WRITER, Role.MIXED) if not room or self._has_room(e, seq)]
+            far = OTHER_ZONE if e.row.zone != at.zone else OTHER_RACK if e.row.rack != at.rack else 1
+            return self._load(e) * far
+        writers = self._usable(seq, Role.WRITER, Role.MIXED)
+        writers = [e for e in writers if not room or self._has_room(e, seq)]
         return min(writers, key=cost, default=None)
 
     def _local_engine(self, seq: Sequence) -> Engine | None:
@@ -372,7 +386,8 @@
                 if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
         least = min((self._load(e) for e in free), default=0)
         roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least] if self.settings.writers_read else []
-        return max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None) or self._mixed(seq)
+        best = max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
+        return best or self._mixed(seq)
 
     def _mixed(self, seq: Sequence) -> Engine | None:
         free = [e for e in self._usable(seq, Role.MIXED)
@@ -389,30 +404,33 @@
         if ran is None or seq.row.effect is Effect.REPEATABLE or engine.role is Role.READER:
             return True
         here, there = engine.row, ran.engine.row
-        return seq.row.effect is Effect.TOKENED and self.now - ran.sent_at < seq.row.window and (
-            seq.row.group == "all" or here.zone == there.zone and (seq.row.group == "zone" or here.rack == there.rack))
+        same = here.zone == there.zone and (seq.row.group == "zone" or here.rack == there.rack)
+        return (seq.row.effect is Effect.TOKENED and self.now - ran.sent_at < seq.row.window
+                and (seq.row.group == "all" or same))
 
     def _repeats(self, seq: Sequence) -> bool:
         return seq.may_have_run is None or seq.row.effect is not Effect.ONCE_ONLY
 
     def _too_cold(self, engine: Engine) -> bool:
-        """A cold engine gets no more than its share of what warm engines of its kind and size take, evenly spaced."""
+        """A cold engine gets its share of what warm engines of its kind and size take, evenly spaced."""
         age = self.now - engine.row.started_at
         if not engine.row.started_at or age >= self.settings.cold_time:
             return False
         since = self.now - RATE_WINDOW
-        warm = [e for e in self.engines.values() if e.row.kind == engine.row.kind and e.listed and e is not engine
+        warm = [e for e in self.engines.values()
+                if e.row.kind == engine.row.kind and e.listed and e is not engine
                 and (not e.row.started_at or self.now - e.row.started_at >= self.settings.cold_time)]
         rates = [sum(t > since for t in e.sends) / e.row.size for e in warm]
         if sum(rates):
             rate = sum(rates) / len(rates)
             self.warm_rates[engine.row.kind] = max(rate, self.warm_rates.get(engine.row.kind, 0.0))
-        # A release can replace every warm engine of a kind: what they took last stays the measure. A node that
+        # A release can replace every warm engine of a kind: what they took stays the measure. A node that
         # never saw a warm one sends its part of one sequence a window.
         rate = self.warm_rates.get(engine.row.kind)
         share = max(self.settings.cold_share, COLD_GROWTH * age / self.settings.cold_time)
-        gap = RATE_WINDOW / (COLD_MARGIN * self.settings.fall_multiple * share * engine.row.size * rate) if rate else (
-            self.settings.nodes * self.settings.fall_window)
+        gap = self.settings.nodes * self.settings.fall_window
+        if rate:
+            gap = RATE_WINDOW / (COLD_MARGIN * self.settings.fall_multiple * share * engine.row.size * rate)
         return self.now - max(engine.row.started_at, engine.sends[-1] if engine.sends else 0) < gap
 
     def _send(self, seq: Sequence, engine: Engine) -> None:
@@ -454,17 +472,17 @@
 
     def _change(self, seq: Sequence, state: State, engine: Engine | None = None, time_out: int = 0,
                 come_back: int = 0) -> None:
-        """Every state change of a sequence. What a read left anywhere is let go with the end, and before a new
-        read: 'no state' from a writer that is cut off does not prove that nothing is held elsewhere. A schedule
-        attempt still out keeps its state waiting: then the end of that attempt lets go."""
+        """Every state change of a sequence. What a read left anywhere is let go with the end, and before a
+        new read: 'no state' from a writer that is cut off does not prove that nothing is held elsewhere. A
+        schedule attempt still out keeps its state waiting: then the end of that attempt lets go."""
         seq.state = state
         sends = state in (State.READING, State.WRITING)
         lets_go = seq.pinned and (sends and not seq.held or state in FINAL and seq.out is None)
         if lets_go:
             seq.held = seq.pinned = False
         ordinal = seq.out.ordinal if seq.out else 0
-        self.changes.append(SequenceChange(seq.id, state, engine.id if engine else "", ordinal, time_out, come_back,
-                                           lets_go))
+        name = engine.id if engine else ""
+        self.changes.append(SequenceChange(seq.id, state, name, ordinal, time_out, come_back, lets_go))
         if state in FINAL and seq.out is None:
             self.seqs.pop(seq.id, None)
 
@@ -484,7 +502,7 @@
             engine.report, engine.sent_since = report, 0
         read_here = outcome is Outcome.READ or outcome is Outcome.GENERATED and attempt.reads
         if read_here:
-            if attempt.believed > 200 and kept < FORGOT * attempt.believed:
+            if attempt.believed > LEAST_BELIEVED and kept < FORGOT * attempt.believed:
                 engine.kept.clear()  # flush or restart: it no longer keeps what it kept
             self._keep(engine, seq)
         if outcome in (Outcome.READ, Outcome.GENERATED):
@@ -505,19 +523,20 @@
         engine.reading -= attempt.reads
         if learn and attempt.reads:
             pace = (self.now - attempt.sent_at) / max(1, attempt.queue)
-            engine.read_pace += 0.2 * (pace - engine.read_pace) if engine.read_pace else pace
+            engine.read_pace += READ_STEP * (pace - engine.read_pace) if engine.read_pace else pace
 
     def _limit(self, engine: Engine, late: bool) -> None:
-        """Own streams at a writer, held to what it can start in time. Others' streams show in the starts alone."""
+        """Own streams at a writer, held to what it starts in time. Others' streams show in starts alone."""
         if late and self.now - engine.cut_at >= LIMIT_EVERY:
             engine.cut_at = self.now
-            engine.limit = max(LEAST_LIMIT, LIMIT_CUT * min(engine.limit or engine.streams, engine.streams + 1))
-        elif not late and engine.stream_pace < 1 and engine.limit and engine.streams >= engine.limit * LESS_ROOM - 1:
+            now_held = min(engine.limit or engine.streams, engine.streams + 1)
+            engine.limit = max(LEAST_LIMIT, LIMIT_CUT * now_held)
+        elif not late and engine.stream_pace < 1 and 0 < engine.limit * LESS_ROOM <= engine.streams + 1:
             engine.limit += LIMIT_STEP / engine.limit
 
     def _good(self, attempt: Attempt) -> None:
-        """Only what was sent since an ejection speaks for the engine: older answers would readmit one that fails
-        fast and often, and every node's next sequences would fall into it."""
+        """Only what was sent since an ejection speaks for the engine: older answers would readmit one that
+        fails fast and often, and every node's next sequences would fall into it."""
         engine = attempt.engine
         engine.last_good = self.now
         if attempt.sent_at < engine.ejected_at:
--- a/aniserudder/simhost.py
+++ b/aniserudder/simhost.py
@@ -1,7 +1,7 @@
 """Adapter between the simulator's line protocol and the decision module. Nothing is decided here.
 
-Reads batches on standard input, decodes each message into one call of the instance's ``Node``, and encodes the
-state changes that the call returns. Instances share nothing.
+Reads batches on standard input, decodes each message into one call of the instance's ``Node``, and encodes
+the state changes that the call returns. Instances share nothing.
 """
 from __future__ import annotations
 
@@ -10,15 +10,17 @@
 import traceback
 from typing import Any, TextIO
 
-from .interface import (Availability, Effect, EngineChange, Outcome, Prompt, Report, Role, RosterRow, SequenceChange,
-                        Settings, Standing, State, TypeSettings)
+from .interface import (Availability, Effect, EngineChange, Outcome, Prompt, Report, Role, RosterRow,
+                        SequenceChange, Settings, Standing, State, TypeSettings)
 from .rules import Node
 
 ROLES = {"read": Role.READER, "write": Role.WRITER, "both": Role.MIXED}
 EFFECTS = {"pure": Effect.REPEATABLE, "token": Effect.TOKENED, "side_effect": Effect.ONCE_ONLY}
-AVAILABILITY = {"Running": Availability.RUNNING, "Stopping": Availability.DRAINING, "Deleted": Availability.GONE}
-OUTCOMES = {"pass": Outcome.GENERATED, "fault": Outcome.ERROR, "no_room": Outcome.FULL, "too_slow": Outcome.TIMED_OUT,
-            "no_route": Outcome.NO_ROUTE, "cut": Outcome.CUT, "undone": Outcome.RECALLED,
+AVAILABILITY = {"Running": Availability.RUNNING, "Stopping": Availability.DRAINING,
+                "Deleted": Availability.GONE}
+OUTCOMES = {"pass": Outcome.GENERATED, "fault": Outcome.ERROR, "no_room": Outcome.FULL,
+            "too_slow": Outcome.TIMED_OUT, "no_route": Outcome.NO_ROUTE, "cut": Outcome.CUT,
+            "undone": Outcome.RECALLED,
             "stale_send": Outcome.NOT_SENT, "read": Outcome.READ}
 
 
@@ -65,9 +67,10 @@
 
 def decode_prompt(m: dict[str, Any]) -> Prompt:
     tenant = m.get("tenant") or ""
-    return Prompt(m["type"], m.get("talk") or "", m.get("system-prompt") or "", round(m.get("input-len") or 0),
-                  round(m.get("shared-len") or 0), round(m.get("output-cap") or 0), micros(m.get("predicted")),
-                  micros(m["grace"]), str(tenant))
+    return Prompt(m["type"], m.get("talk") or "", m.get("system-prompt") or "",
+                  round(m.get("input-len") or 0), round(m.get("shared-len") or 0),
+                  round(m.get("output-cap") or 0),
+                  micros(m.get("predicted")), micros(m["grace"]), str(tenant))
 
 
 class Instance:
@@ -100,8 +103,8 @@
                 outcome = OUTCOMES.get(m["result"], Outcome.ERROR)
                 if outcome is Outcome.FULL and m.get("note"):
                     outcome = Outcome.NO_STATE
-                changes = node.ended(now, m["request-id"], m.get("leg", 0), outcome, round(m.get("note") or 0),
-                                     bool(m.get("done-flag")), self.report(now, m))
+                changes = node.ended(now, m["request-id"], m.get("leg", 0), outcome,
+                                     round(m.get("note") or 0), bool(m.get("done-flag")), self.report(now, m))
             case "dropped":
                 changes = node.client_left(now, m["request-id"])
             case "probe-done":
@@ -119,13 +122,15 @@
         if isinstance(change, EngineChange):
             done = [self.act("health-check", engine=change.engine)] if change.probe else []
             if change.standing is not Standing.SAMPLED:
-                done.append(self.act("trace", msg=f"{change.engine} {change.standing.value}: {change.reason}"))
+                text = f"{change.engine} {change.standing.value}: {change.reason}"
+                done.append(self.act("trace", msg=text))
             return done
         done = [self.act("give-up-hold", **{"request-id": change.seq})] if change.lets_go else []
         ref = {"request-id": change.seq}
         match change.state:
             case State.READING | State.WRITING:
-                done.append(self.act("send", **ref, engine=change.engine, **{"give-up-after": change.time_out / 1e6}))
+                limit = {"give-up-after": change.time_out / 1e6}
+                done.append(self.act("send", **ref, engine=change.engine, **limit))
             case State.REJECTED:
                 done.append(self.act("turn-away", **ref, **{"stay-away": change.come_back / 1e6}))
             case State.ABORTED:
