--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -367,7 +367,8 @@
         """By last report and own sends since, else own streams; set against the listed size."""
         report = engine.report
         if report and "inflight" in report.values and self.now - report.at < 3 * PROBE_EVERY:
-            return (report.values["inflight"] + engine.sent_since + 1) / engine.row.size
+            full = 1 + report.values.get("x0", 0.0)  # of two with as many streams, the one with more memory held
+            return (report.values["inflight"] + engine.sent_since + 1) * full / engine.row.size
         return (engine.streams + 1) / engine.row.size
 
     def _writer(self, seq: Sequence, room: bool) -> Engine | None:
