A cold engine's share grows with age up to 0.7 of what the fall multiple leaves at its coldest

Cause: 0.6 of a straight line was a figure of its own; some engines warm by work, not by time, and could still be at their coldest.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -62,8 +62,7 @@
 READ_PATIENCE = 3.0             # times the expected read
 READ_SLO_PART = 0.8             # but at least this part of the latency SLO
 # Cold engines.
-COLD_GROWTH = 0.6               # part of the way to warm that is trusted as the time passes
-COLD_MARGIN = 0.4               # of what the fall multiple, cold share and warm peers' rate allow
+COLD_SAFE = 0.7                 # part of the fall multiple that is used
 RATE_WINDOW = 5 * S
 PROBE_EVERY = 1 * S
 
@@ -428,10 +427,12 @@
         # A release can replace every warm engine of a kind: what they took stays the measure. A node that
         # never saw a warm one sends its part of one sequence a window.
         rate = self.warm_rates.get(engine.row.kind)
-        share = max(self.settings.cold_share, COLD_GROWTH * age / self.settings.cold_time)
+        # Never more than a safe part of the multiple, even if it has not warmed up at all yet.
+        least = self.settings.cold_share
+        share = max(least, min(age / self.settings.cold_time, COLD_SAFE * self.settings.fall_multiple * least))
         gap = self.settings.nodes * self.settings.fall_window
         if rate:
-            gap = RATE_WINDOW / (COLD_MARGIN * self.settings.fall_multiple * share * engine.row.size * rate)
+            gap = RATE_WINDOW / (share * engine.row.size * rate)
         return self.now - max(engine.row.started_at, engine.sends[-1] if engine.sends else 0) < gap
 
     def _send(self, seq: Sequence, engine: Engine) -> None:
