--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -55,6 +55,7 @@
 LIMIT_EVERY = 500 * MS
 LEAST_LIMIT = 6.0
 LESS_ROOM = 0.85                # of the limit, for what is beyond a customer's share or of lower utility
+COME_BACK = 0.5                 # part of the longest time clients heed: a jam may pass, and the SLO is not gone
 # Health.
 EJECT_AFTER = 3                 # failures in a row
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 3 * S
@@ -366,7 +367,7 @@
         """By last report and own sends since, else own streams; set against the listed size."""
         report = engine.report
         if report and "inflight" in report.values and self.now - report.at < 3 * PROBE_EVERY:
-            full = 1 + report.values.get("x0", 0.0)  # of two with as many streams, the one with more memory held
+            full = 1 + report.values.get("x0", 0.0)  # share of memory held
             return (report.values["inflight"] + engine.sent_since + 1) * full / engine.row.size
         return (engine.streams + 1) / engine.row.size
 
@@ -429,7 +430,8 @@
         rate = self.warm_rates.get(engine.row.kind)
         # Never more than a safe part of the multiple, even if it has not warmed up at all yet.
         least = self.settings.cold_share
-        share = max(least, min(age / self.settings.cold_time, COLD_SAFE * self.settings.fall_multiple * least))
+        safe = COLD_SAFE * self.settings.fall_multiple * least
+        share = max(least, min(safe, age / self.settings.cold_time))
         gap = self.settings.nodes * self.settings.fall_window
         if rate:
             gap = RATE_WINDOW / (share * engine.row.size * rate)
@@ -470,7 +472,7 @@
         state = State.REJECTED if harmless else State.ABORTED
         if seq.attempts:
             self._credit(seq, seq.attempts[-1], Outcome.ERROR)
-        self._change(seq, state, come_back=self.settings.max_come_back if harmless else 0)
+        self._change(seq, state, come_back=round(COME_BACK * self.settings.max_come_back) if harmless else 0)
 
     def _change(self, seq: Sequence, state: State, engine: Engine | None = None, time_out: int = 0,
                 come_back: int = 0) -> None:
