--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -55,7 +55,7 @@
 LIMIT_EVERY = 500 * MS
 LEAST_LIMIT = 6.0
 LESS_ROOM = 0.85                # of the limit, for what is beyond a customer's share or of lower utility
-COME_BACK = 0.5                 # part of the longest time clients heed: a jam may pass, and the SLO is not gone
+COME_BACK = 0.25                # part of the longest time clients heed: the SLO is not gone by then
 # Health.
 EJECT_AFTER = 3                 # failures in a row
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 3 * S
