--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -215,7 +215,9 @@
         if self.now >= seq.abandon_at or more <= 0 or not self._repeats(seq):
             return self._give_up(seq)
         if not seq.held:
-            writer, reader = self._local_engine(seq), self._reader(seq)
+            # With no reader at all to be had, local reads may take what a reader might have.
+            part = LOCAL_SOON if self._usable(seq, Role.READER) else ADMIT
+            writer, reader = self._local_engine(seq, part), self._reader(seq)
             if seq.cluster is None:
                 features = self._features(seq, reader, writer)
                 seq.cluster = self._nearest(features)
@@ -224,7 +226,7 @@
             if writer and (seq.local or last):
                 return self._send(seq, writer)
             # Where readers are few, mixed engines carry their part: they read what readers can't in time.
-            spare = None if reader and self._soon(reader, seq, SPILL) else self._mixed(seq)
+            spare = None if reader and self._soon(reader, seq, SPILL) else self._mixed(seq, part)
             if spare:
                 return self._send(seq, spare)
             if reader and not last and self._writer(seq, room=True):
@@ -381,18 +383,18 @@
         writers = [e for e in writers if not room or self._has_room(e, seq)]
         return min(writers, key=cost, default=None)
 
-    def _local_engine(self, seq: Sequence) -> Engine | None:
+    def _local_engine(self, seq: Sequence, part: float) -> Engine | None:
         """A writer with room that may read, else a mixed engine, by longest kept beginning."""
         free = [e for e in self._usable(seq, Role.WRITER)
-                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
+                if self._has_room(e, seq) and self._soon(e, seq, part)]
         least = min((self._load(e) for e in free), default=0)
         roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least] if self.settings.writers_read else []
         best = max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
-        return best or self._mixed(seq)
+        return best or self._mixed(seq, part)
 
-    def _mixed(self, seq: Sequence) -> Engine | None:
+    def _mixed(self, seq: Sequence, part: float) -> Engine | None:
         free = [e for e in self._usable(seq, Role.MIXED)
-                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
+                if self._has_room(e, seq) and self._soon(e, seq, part)]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
