--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -215,9 +215,7 @@
         if self.now >= seq.abandon_at or more <= 0 or not self._repeats(seq):
             return self._give_up(seq)
         if not seq.held:
-            # With no reader at all to be had, local reads may take what a reader might have.
-            part = LOCAL_SOON if self._usable(seq, Role.READER) else ADMIT
-            writer, reader = self._local_engine(seq, part), self._reader(seq)
+            writer, reader = self._local_engine(seq), self._reader(seq)
             if seq.cluster is None:
                 features = self._features(seq, reader, writer)
                 seq.cluster = self._nearest(features)
@@ -226,7 +224,7 @@
             if writer and (seq.local or last):
                 return self._send(seq, writer)
             # Where readers are few, mixed engines carry their part: they read what readers can't in time.
-            spare = None if reader and self._soon(reader, seq, SPILL) else self._mixed(seq, part)
+            spare = None if reader and self._soon(reader, seq, SPILL) else self._mixed(seq)
             if spare:
                 return self._send(seq, spare)
             if reader and not last and self._writer(seq, room=True):
@@ -383,18 +381,18 @@
         writers = [e for e in writers if not room or self._has_room(e, seq)]
         return min(writers, key=cost, default=None)
 
-    def _local_engine(self, seq: Sequence, part: float) -> Engine | None:
+    def _local_engine(self, seq: Sequence) -> Engine | None:
         """A writer with room that may read, else a mixed engine, by longest kept beginning."""
         free = [e for e in self._usable(seq, Role.WRITER)
-                if self._has_room(e, seq) and self._soon(e, seq, part)]
+                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
         least = min((self._load(e) for e in free), default=0)
         roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least] if self.settings.writers_read else []
         best = max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
-        return best or self._mixed(seq, part)
+        return best or self._mixed(seq)
 
-    def _mixed(self, seq: Sequence, part: float) -> Engine | None:
+    def _mixed(self, seq: Sequence) -> Engine | None:
         free = [e for e in self._usable(seq, Role.MIXED)
-                if self._has_room(e, seq) and self._soon(e, seq, part)]
+                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
@@ -414,20 +412,23 @@
     def _repeats(self, seq: Sequence) -> bool:
         return seq.may_have_run is None or seq.row.effect is not Effect.ONCE_ONLY
 
+    def _is_cold(self, engine: Engine) -> bool:
+        return 0 < engine.row.started_at and self.now - engine.row.started_at < self.settings.cold_time
+
+    def _learn_rate(self, kind: str) -> None:
+        """What warm engines of a kind take, kept for the time when there may be none."""
+        since = self.now - RATE_WINDOW
+        rates = [sum(t > since for t in e.sends) / e.row.size for e in self.engines.values()
+                 if e.row.kind == kind and e.listed and not self._is_cold(e)]
+        if rates:
+            self.warm_rates[kind] = max(sum(rates) / len(rates), self.warm_rates.get(kind, 0.0))
+
     def _too_cold(self, engine: Engine) -> bool:
         """A cold engine gets its share of what warm engines of its kind and size take, evenly spaced."""
         age = self.now - engine.row.started_at
-        if not engine.row.started_at or age >= self.settings.cold_time:
+        if not self._is_cold(engine):
             return False
-        since = self.now - RATE_WINDOW
-        warm = [e for e in self.engines.values()
-                if e.row.kind == engine.row.kind and e.listed and e is not engine
-                and (not e.row.started_at or self.now - e.row.started_at >= self.settings.cold_time)]
-        rates = [sum(t > since for t in e.sends) / e.row.size for e in warm]
-        if sum(rates):
-            rate = sum(rates) / len(rates)
-            self.warm_rates[engine.row.kind] = max(rate, self.warm_rates.get(engine.row.kind, 0.0))
-        # A release can replace every warm engine of a kind: what they took stays the measure. A node that
+        # A release or a crash can leave no warm engine of a kind: what they took stays the measure. One that
         # never saw a warm one sends its part of one sequence a window.
         rate = self.warm_rates.get(engine.row.kind)
         # Never more than a safe part of the multiple, even if it has not warmed up at all yet.
@@ -465,6 +466,7 @@
         if engine.standing is Standing.EJECTED and engine.eject_until <= self.now:
             self._judged(engine, Standing.ON_TRIAL, f"after {engine.pause // MS} ms")
         engine.sends = [t for t in engine.sends if t > self.now - RATE_WINDOW] + [self.now]
+        self._learn_rate(engine.row.kind)
         self._change(seq, State.READING if reads else State.WRITING, engine, time_out=time_out)
 
     def _give_up(self, seq: Sequence) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -147,3 +147,19 @@
     for id in "abc":
         s.end(id, 0, Outcome.READ)
     s.check("load_reports")
+
+
+def test_a_whole_kind_comes_back_cold():
+    """What warm engines took before they were lost measures the cold ones; a node that never saw any sends less."""
+    traces = []
+    for warm in (True, False):
+        s = Story("r1 w1" if warm else "w1")
+        for i in range(20 if warm else 0):
+            s.arrive(f"a{i}").after(0.1).end(f"a{i}", 0, Outcome.READ)
+        s.roster("r1", availability=Availability.GONE).roster("r2", started=s.now)
+        s.lines = []
+        for i in range(40):
+            s.after(0.1).arrive(f"b{i}")
+        traces.append(" ".join("+" if " reading " in line else "-" for line in s.lines if "->" in line))
+    s.lines = traces
+    s.check("whole_kind_cold")
