--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -10,6 +10,7 @@
 import math
 from hashlib import blake2b
 from random import Random
+from statistics import median
 
 from .interface import (Availability, Change, Effect, EngineChange, Outcome, Prompt, Report, Role, RosterRow,
                         SequenceChange, Settings, Standing, State)
@@ -57,6 +58,7 @@
 LESS_ROOM = 0.85                # of the limit, for what is beyond a customer's share or of lower utility
 COME_BACK = 0.25                # part of the longest time clients heed: the SLO is not gone by then
 # Health.
+FAR_SLOWER = 4.0                # times the peers' median wait for a first token
 EJECT_AFTER = 3                 # failures in a row
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 3 * S
 # Time-outs.
@@ -139,7 +141,10 @@
             attempt.started_at = now
             seq.held = seq.pinned = False
             self._read_over(attempt)
-            self._good(attempt)
+            if self._far_slower(attempt):
+                self._failed(attempt, "far slower than its peers")
+            else:
+                self._good(attempt)
             part = QUICK_LOCAL if attempt.reads else QUICK
             self._limit(attempt.engine, now - attempt.sent_at > part * (seq.slo_at - seq.arrived))
             self._change(seq, State.STREAMING, attempt.engine)
@@ -521,8 +526,8 @@
             if outcome is Outcome.TIMED_OUT and engine.role is not Role.READER:
                 self._limit(engine, True)
             # A time-out at an engine that has answered others since is a queue, not an illness.
-            if outcome is not Outcome.TIMED_OUT or engine.last_good < attempt.sent_at:
-                self._failed(attempt, outcome)
+            if outcome is not Outcome.TIMED_OUT or engine.last_good < attempt.sent_at or self._far_slower(attempt):
+                self._failed(attempt, outcome.value)
         if engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at:
             engine.standing = Standing.EJECTED  # the trial told nothing: the next sequence is another
 
@@ -542,6 +547,17 @@
         elif not late and engine.stream_pace < 1 and 0 < engine.limit * LESS_ROOM <= engine.streams + 1:
             engine.limit += LIMIT_STEP / engine.limit
 
+    def _far_slower(self, attempt: Attempt) -> bool:
+        """A start at a writer that took far longer than its peers' usual ones: the engine or its link is slow. A
+        queue that all have does not count."""
+        engine, seq = attempt.engine, attempt.seq
+        if attempt.reads or engine.role is Role.READER:
+            return False
+        took = self.now - attempt.sent_at
+        engine.wait += PACE_STEP * (took - engine.wait)
+        peers = [e.wait for e in self.engines.values() if e.listed and e.wait and e is not engine]
+        return bool(peers) and took > max(QUICK * (seq.slo_at - seq.arrived), FAR_SLOWER * median(peers))
+
     def _good(self, attempt: Attempt) -> None:
         """Only what was sent since an ejection speaks for the engine: older answers would readmit one that
         fails fast and often, and every node's next sequences would fall into it."""
@@ -555,7 +571,7 @@
         elif self.now - engine.ejected_at > 2 * LONGEST_PAUSE:
             engine.pause = 0
 
-    def _failed(self, attempt: Attempt, outcome: Outcome) -> None:
+    def _failed(self, attempt: Attempt, reason: str) -> None:
         """Failures in a row; growing pauses; a failed trial ejects again."""
         engine = attempt.engine
         engine.failures += 1
@@ -563,7 +579,7 @@
         if tried or engine.standing is Standing.TRUSTED and engine.failures >= EJECT_AFTER:
             engine.pause = min(LONGEST_PAUSE, engine.pause * 2 or FIRST_PAUSE)
             engine.ejected_at, engine.eject_until = self.now, self.now + engine.pause
-            self._judged(engine, Standing.EJECTED, outcome.value)
+            self._judged(engine, Standing.EJECTED, reason)
 
     def _judged(self, engine: Engine, standing: Standing, reason: str) -> None:
         engine.standing = standing
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -163,3 +163,16 @@
         traces.append(" ".join("+" if " reading " in line else "-" for line in s.lines if "->" in line))
     s.lines = traces
     s.check("whole_kind_cold")
+
+
+def test_far_slower_than_its_peers():
+    """Three late starts in a row while the others start at once eject a writer; with no peers nothing is judged."""
+    s = Story("r1 r2 w1 w2 w3")
+    for i in range(13):
+        s.arrive(f"a{i}").after(0.05).end(f"a{i}", 0, Outcome.READ)
+        at = s.node.seqs[f"a{i}"].out.engine.id
+        s.after(0.9 if at == "w2" else 0.02).start(f"a{i}", 1)
+    alone = Story("r1 w1").arrive("a").after(0.05).end("a", 0, Outcome.READ)
+    alone.roster("w1", availability=Availability.GONE).after(2).start("a", 1)
+    s.lines = [line for line in s.lines if "w2" in line] + alone.lines[-2:]
+    s.check("far_slower")
