--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -526,7 +526,8 @@
             if outcome is Outcome.TIMED_OUT and engine.role is not Role.READER:
                 self._limit(engine, True)
             # A time-out at an engine that has answered others since is a queue, not an illness.
-            if outcome is not Outcome.TIMED_OUT or engine.last_good < attempt.sent_at or self._far_slower(attempt):
+            quiet = engine.last_good < attempt.sent_at
+            if outcome is not Outcome.TIMED_OUT or quiet or self._far_slower(attempt):
                 self._failed(attempt, outcome.value)
         if engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at:
             engine.standing = Standing.EJECTED  # the trial told nothing: the next sequence is another
@@ -548,10 +549,10 @@
             engine.limit += LIMIT_STEP / engine.limit
 
     def _far_slower(self, attempt: Attempt) -> bool:
-        """A start at a writer that took far longer than its peers' usual ones: the engine or its link is slow. A
-        queue that all have does not count."""
+        """A start at a warm writer that took far longer than its peers' usual ones: the engine or its link is
+        slow. A queue that all have does not count."""
         engine, seq = attempt.engine, attempt.seq
-        if attempt.reads or engine.role is Role.READER:
+        if attempt.reads or engine.role is Role.READER or self._is_cold(engine):
             return False
         took = self.now - attempt.sent_at
         engine.wait += PACE_STEP * (took - engine.wait)
