--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -397,7 +397,7 @@
 
     def _mixed(self, seq: Sequence) -> Engine | None:
         free = [e for e in self._usable(seq, Role.MIXED)
-                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
+                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON if e.reading else SPILL)]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
