--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -234,7 +234,6 @@
                 return self._send(seq, spare)
             if reader and not last and self._writer(seq, room=True):
                 return self._send(seq, reader)
-            writer = writer or self._mixed(seq, idle=True)
             if writer:  # no reader in time: a writer with room reads even a long remainder before a refusal
                 return self._send(seq, writer)
             return self._give_up(seq)
@@ -396,9 +395,9 @@
         best = max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
         return best or self._mixed(seq)
 
-    def _mixed(self, seq: Sequence, idle: bool = False) -> Engine | None:
+    def _mixed(self, seq: Sequence) -> Engine | None:
         free = [e for e in self._usable(seq, Role.MIXED)
-                if self._has_room(e, seq) and self._soon(e, seq, SPILL if idle and not e.reading else LOCAL_SOON)]
+                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
