--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -352,7 +352,11 @@
         readers.sort(key=lambda e: (AWAY_TOKENS * away[e] - self._kept(e, seq), away[e], rank(e, key)))
         best = next((e for e in readers if self._soon(e, seq, SPILL)),
                     min(readers, key=lambda e: self._read_time(e, seq), default=None))
-        in_time = best and (not best.reading or self._read_time(best, seq) <= ADMIT * (seq.slo_at - self.now))
+        # A client's later tries bring little time with them. A pace learned in a jam may be old: an idle reader
+        # is tried where a usual pace would do.
+        left = min(seq.slo_at, seq.abandon_at) - self.now
+        in_time = best and (self._read_time(best, seq) <= ADMIT * left or not best.reading
+                            and FIRST_READ_PACE * (READ_OVERHEAD + self._left(best, seq)) <= left)
         return best if in_time else None
 
     def _soon(self, engine: Engine, seq: Sequence, part: float) -> bool:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -176,3 +176,11 @@
     alone.roster("w1", availability=Availability.GONE).after(2).start("a", 1)
     s.lines = [line for line in s.lines if "w2" in line] + alone.lines[-2:]
     s.check("far_slower")
+
+
+def test_what_is_left_of_a_try():
+    """A late try that reading alone would outlast is turned away; a jam's pace does not close an idle reader."""
+    s = Story("r1 w1", writers_read=False).arrive("a", tokens=3000).arrive("b", tokens=6000, time_left=0.4)
+    s.serve("a")
+    s.node.engines["r1"].read_pace = 2000.0
+    s.after(5).arrive("c", tokens=3000).check("left_of_a_try")
