--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -184,3 +184,17 @@
     s.serve("a")
     s.node.engines["r1"].read_pace = 2000.0
     s.after(5).arrive("c", tokens=3000).check("left_of_a_try")
+
+
+def test_bits_are_learned():
+    """A bit flips on enough samples of both paths, not on few, not while both miss alike, and not back at once."""
+    node, lines = Story().node, []
+    bit = node.clusters[0]
+    for tries, local, remote in ((5, 0, 5), (10, 2, 4), (10, 9, 10), (10, 3, 9), (10, 3, 9)):
+        bit.tries, bit.wins = {True: float(tries), False: float(tries)}, {True: float(local), False: float(remote)}
+        node._judge(bit)
+        lines.append(f"of {tries} each {local} local and {remote} remote: {'local' if bit.local else 'remote'}")
+    s = Story(allowances={"big": 2.0}).arrive("a", customer="big").serve("a").arrive("b", customer="big")
+    s.arrive("c", customer="big").serve("c", 0)
+    s.lines = lines + [f"counted {sum(sum(c.tries.values()) for c in s.node.clusters):.0f} of 2 served, one beyond its share"]
+    s.check("learned_bits")
