A stream is judged by its start; streams that break count as failures

Covers crashes that the roster has not told yet. Harm: three streams broken for another reason cost an engine a second.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -522,11 +522,13 @@
             if attempt.believed > LEAST_BELIEVED and kept < FORGOT * attempt.believed:
                 engine.kept.clear()  # flush or restart: it no longer keeps what it kept
             self._keep(engine, seq)
-        if outcome in (Outcome.READ, Outcome.GENERATED):
+        if outcome is Outcome.GENERATED and attempt.started_at:
+            engine.last_good = self.now  # its start was judged when it came
+        elif outcome in (Outcome.READ, Outcome.GENERATED):
             self._good(attempt)
         elif outcome is Outcome.FULL:
             self._limit(engine, True)
-        elif outcome in ILL and not attempt.started_at:
+        elif outcome in ILL:
             if outcome is Outcome.TIMED_OUT and engine.role is not Role.READER:
                 self._limit(engine, True)
             # A time-out at an engine that has answered others since is a queue, not an illness.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,6 +1,6 @@
 """Decision traces, each compared with tests/traces/NAME.txt, which people read."""
 from aniserudder.interface import Availability, Outcome, Report
-from story import MS, S, Story
+from story import S, Story
 
 
 def test_ordinary_path():
@@ -198,3 +198,13 @@
     s.arrive("c", customer="big").serve("c", 0)
     s.lines = lines + [f"counted {sum(sum(c.tries.values()) for c in s.node.clusters):.0f} of 2 served, one beyond its share"]
     s.check("learned_bits")
+
+
+def test_broken_streams_speak_against_an_engine():
+    """Three streams that break in a row eject it; a stream's good end does not wipe out its slow start."""
+    s = Story("r1 w1")
+    for i in range(3):
+        s.arrive(f"a{i}", tokens=500).after(0.05).start(f"a{i}", 0)
+    for i in range(3):
+        s.end(f"a{i}", 0, Outcome.CUT, final=True)
+    s.check("broken_streams")
