--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -581,7 +581,7 @@
     def _failed(self, attempt: Attempt, reason: str) -> None:
         """Failures in a row; growing pauses; a failed trial ejects again."""
         engine = attempt.engine
-        engine.failures += 1
+        engine.failures += EJECT_AFTER if reason == Outcome.NO_ROUTE.value else 1
         tried = engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at
         if tried or engine.standing is Standing.TRUSTED and engine.failures >= EJECT_AFTER:
             engine.pause = min(LONGEST_PAUSE, engine.pause * 2 or FIRST_PAUSE)
