--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -175,6 +175,8 @@
                 self._change(seq, State.READ, engine)
             else:
                 seq.tried.append(engine)
+                if outcome is Outcome.NO_STATE and seq.reader:
+                    seq.tried.append(seq.reader)  # the two may be cut off from each other: read elsewhere
             self._route(seq)
         if seq.state in FINAL:
             self.seqs.pop(id, None)
@@ -581,7 +583,7 @@
     def _failed(self, attempt: Attempt, reason: str) -> None:
         """Failures in a row; growing pauses; a failed trial ejects again."""
         engine = attempt.engine
-        engine.failures += EJECT_AFTER if reason == Outcome.NO_ROUTE.value else 1
+        engine.failures += 1
         tried = engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at
         if tried or engine.standing is Standing.TRUSTED and engine.failures >= EJECT_AFTER:
             engine.pause = min(LONGEST_PAUSE, engine.pause * 2 or FIRST_PAUSE)
