--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -96,6 +96,8 @@
                          for n in GRID for left in (n, n * (1 - GRID_KEPT))]
         middle = [c.centre for c in self.clusters]
         self.feature_mean, self.feature_var = [sum(f) / len(middle) for f in zip(*middle)], [1.0] * 4
+        readers = Role.READER in settings.roles.values()
+        self.local_part = LOCAL_SOON if readers else ADMIT  # without readers every read is local
         self.scan = 0             # the half period of the scan that runs; past the last, epsilon trials
         self.period_end = 0
         self.trials = 0.0         # trials that may still be made
@@ -354,8 +356,8 @@
         readers.sort(key=lambda e: (AWAY_TOKENS * away[e] - self._kept(e, seq), away[e], rank(e, key)))
         best = next((e for e in readers if self._soon(e, seq, SPILL)),
                     min(readers, key=lambda e: self._read_time(e, seq), default=None))
-        # A client's later tries bring little time with them. A pace learned in a jam may be old: an idle reader
-        # is tried where a usual pace would do.
+        # A client's later tries bring little time with them. A pace learned in a jam may be old: an idle
+        # reader is tried where a usual pace would do.
         left = min(seq.slo_at, seq.abandon_at) - self.now
         in_time = best and (self._read_time(best, seq) <= ADMIT * left or not best.reading
                             and FIRST_READ_PACE * (READ_OVERHEAD + self._left(best, seq)) <= left)
@@ -395,7 +397,7 @@
     def _local_engine(self, seq: Sequence) -> Engine | None:
         """A writer with room that may read, else a mixed engine, by longest kept beginning."""
         free = [e for e in self._usable(seq, Role.WRITER)
-                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
+                if self._has_room(e, seq) and self._soon(e, seq, self.local_part)]
         least = min((self._load(e) for e in free), default=0)
         roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least] if self.settings.writers_read else []
         best = max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
@@ -403,7 +405,7 @@
 
     def _mixed(self, seq: Sequence) -> Engine | None:
         free = [e for e in self._usable(seq, Role.MIXED)
-                if self._has_room(e, seq) and self._soon(e, seq, LOCAL_SOON)]
+                if self._has_room(e, seq) and self._soon(e, seq, self.local_part)]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,5 +1,5 @@
 """Decision traces, each compared with tests/traces/NAME.txt, which people read."""
-from aniserudder.interface import Availability, Outcome, Report
+from aniserudder.interface import Availability, Outcome, Report, Role
 from story import S, Story
 
 
@@ -208,3 +208,9 @@
     for i in range(3):
         s.end(f"a{i}", 0, Outcome.CUT, final=True)
     s.check("broken_streams")
+
+
+def test_a_deployment_without_readers():
+    """Every read is local and may take what a reader might."""
+    s = Story("w1", roles={"w": Role.WRITER})
+    s.arrive("a", tokens=6000).arrive("b", tokens=3000).arrive("c", tokens=9000).check("without_readers")
