--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -42,6 +42,7 @@
 # Picking engines.
 SPILL = 0.5                     # part of the latency SLO that a read may take before the next reader is tried
 LOCAL_SOON = 0.2                # the same for a local read
+AT_EASE = 0.4                   # part of the expected stream time below which a mixed engine may read longer
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
 READ_STEP = 0.2                 # weight of the last read in an engine's pace
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
@@ -404,8 +405,11 @@
         return best or self._mixed(seq)
 
     def _mixed(self, seq: Sequence) -> Engine | None:
+        """A mixed engine with room, by longest kept beginning. One whose streams run well may read longer."""
+        def part(e: Engine) -> float:
+            return max(self.local_part, SPILL if e.stream_pace < AT_EASE else 0.0)
         free = [e for e in self._usable(seq, Role.MIXED)
-                if self._has_room(e, seq) and self._soon(e, seq, self.local_part)]
+                if self._has_room(e, seq) and self._soon(e, seq, part(e))]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -214,3 +214,10 @@
     """Every read is local and may take what a reader might."""
     s = Story("w1", roles={"w": Role.WRITER})
     s.arrive("a", tokens=6000).arrive("b", tokens=3000).arrive("c", tokens=9000).check("without_readers")
+
+
+def test_mixed_engines_at_ease_read_longer():
+    for pace in (0.2, 0.8):
+        s = Story("m1")
+        s.node.engines["m1"].stream_pace = pace
+        s.arrive("a", tokens=7000).check(f"mixed_at_{pace}")
