Cold engines are dealt their part of own sequences, counted up from a random phase

Now each node deals it its part (cold share, growing) of a warm engine's own sequences; the parts add up for any number of nodes. Also covers crashes and releases of a whole kind. Could harm: with no warm engine left about a third to a half of the load is turned away.

--- a/aniserudder/interface.py
+++ b/aniserudder/interface.py
@@ -93,7 +93,6 @@
     cold_share: float
     cold_time: int
     fall_multiple: float
-    fall_window: int
     allowances: dict[str, float]  # customer: sequences a second inside its share, over all nodes
 
 
--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -67,7 +67,6 @@
 READ_SLO_PART = 0.8             # but at least this part of the latency SLO
 # Cold engines.
 COLD_SAFE = 0.7                 # part of the fall multiple that is used
-RATE_WINDOW = 5 * S
 PROBE_EVERY = 1 * S
 
 NEVER_RAN = {Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.READ}
@@ -102,7 +101,8 @@
         self.scan = 0             # the half period of the scan that runs; past the last, epsilon trials
         self.period_end = 0
         self.trials = 0.0         # trials that may still be made
-        self.warm_rates: dict[str, float] = {}  # by kind: sends in RATE_WINDOW to a warm engine of size 1
+        self.cold: list[Engine] = []
+        self.sizes = {True: 0.0, False: 0.0}  # of all listed readers, and of all others
         self.buckets: dict[str, tuple[float, int]] = {}
 
     # What happens, as told by the host.
@@ -116,12 +116,16 @@
             role = self.settings.roles.get(row.kind, Role.UNKNOWN)
             engine = self.engines.get(row.engine)
             if engine is None:
-                engine = self.engines[row.engine] = Engine(row.engine, row, role)
+                engine = self.engines[row.engine] = Engine(row.engine, row, role, turn=self.chance())
             elif row.started_at > engine.row.started_at:  # restarted: empty, and cold
                 engine.kept.clear()
-                engine.failures, engine.sends = 0, []
+                engine.failures, engine.turn = 0, self.chance()
             engine.row, engine.role = row, role
             engine.listed = row.availability is Availability.RUNNING
+        listed = [e for e in self.engines.values() if e.listed]
+        self.cold = [e for e in listed if self._is_cold(e)]
+        for reads in (True, False):
+            self.sizes[reads] = sum(e.row.size for e in listed if (e.role is Role.READER) is reads)
         return self._done()
 
     def arrived(self, now: int, id: str, prompt: Prompt) -> list[Change]:
@@ -133,6 +137,7 @@
         seq = Sequence(id, prompt, row, now, now + slo, now + prompt.time_left, output)
         seq.over_share = self._over_share(prompt.customer)
         self.seqs[id] = seq
+        self._take_turns(seq)
         self._route(seq)
         return self._done()
 
@@ -344,9 +349,9 @@
     def _usable(self, seq: Sequence, *roles: Role) -> list[Engine]:
         """Engines of these roles that the rules allow and that are thought well, best known first tried."""
         allowed = [e for e in self.engines.values() if e.role in roles and self._may_send(seq, e)]
-        well = [e for e in allowed if not self._too_cold(e) and (
-            e.standing is Standing.TRUSTED or e.standing is Standing.EJECTED and e.eject_until <= self.now)]
-        fresh = [e for e in well if e not in seq.tried]
+        well = [e for e in allowed if e.standing is Standing.TRUSTED
+                or e.standing is Standing.EJECTED and e.eject_until <= self.now]
+        fresh = [e for e in well if e in seq.turns] or [e for e in well if e not in seq.tried]
         return fresh or well
 
     def _reader(self, seq: Sequence) -> Engine | None:
@@ -415,8 +420,8 @@
     # Rules' guards: each in one place.
 
     def _may_send(self, seq: Sequence, engine: Engine) -> bool:
-        """Drains, and where a repeat of a tokened sequence may go. Every send passes here."""
-        if not engine.listed:
+        """Drains, turns of cold engines, and where a tokened sequence may go again. Every send passes here."""
+        if not engine.listed or self._is_cold(engine) and engine not in seq.turns:
             return False
         ran = seq.may_have_run
         if ran is None or seq.row.effect is Effect.REPEATABLE or engine.role is Role.READER:
@@ -432,30 +437,20 @@
     def _is_cold(self, engine: Engine) -> bool:
         return 0 < engine.row.started_at and self.now - engine.row.started_at < self.settings.cold_time
 
-    def _learn_rate(self, kind: str) -> None:
-        """What warm engines of a kind take, kept for the time when there may be none."""
-        since = self.now - RATE_WINDOW
-        rates = [sum(t > since for t in e.sends) / e.row.size for e in self.engines.values()
-                 if e.row.kind == kind and e.listed and not self._is_cold(e)]
-        if rates:
-            self.warm_rates[kind] = max(sum(rates) / len(rates), self.warm_rates.get(kind, 0.0))
-
-    def _too_cold(self, engine: Engine) -> bool:
-        """A cold engine gets its share of what warm engines of its kind and size take, evenly spaced."""
-        age = self.now - engine.row.started_at
-        if not self._is_cold(engine):
-            return False
-        # A release or a crash can leave no warm engine of a kind: what they took stays the measure. One that
-        # never saw a warm one sends its part of one sequence a window.
-        rate = self.warm_rates.get(engine.row.kind)
-        # Never more than a safe part of the multiple, even if it has not warmed up at all yet.
+    def _take_turns(self, seq: Sequence) -> None:
+        """A cold engine is dealt its part of a warm one's sequences, and gets nothing else. The parts of all
+        nodes add up to that part of what all nodes carry, however many they are: each node counts up by its
+        own sequences, from a phase left to chance. So the engine is sent over its multiple only when the
+        fleet is sent several times what it can do. A sequence dealt to it goes there whatever others keep."""
+        self.cold = [e for e in self.cold if e.listed and self._is_cold(e)]
         least = self.settings.cold_share
-        safe = COLD_SAFE * self.settings.fall_multiple * least
-        share = max(least, min(safe, age / self.settings.cold_time))
-        gap = self.settings.nodes * self.settings.fall_window
-        if rate:
-            gap = RATE_WINDOW / (share * engine.row.size * rate)
-        return self.now - max(engine.row.started_at, engine.sends[-1] if engine.sends else 0) < gap
+        for e in self.cold:
+            grown = (self.now - e.row.started_at) / self.settings.cold_time
+            part = least + grown * max(0.0, COLD_SAFE * self.settings.fall_multiple - 1) * least
+            e.turn += part * e.row.size / self.sizes[e.role is Role.READER]
+            if e.turn >= 1:
+                e.turn -= 1
+                seq.turns.append(e)
 
     def _send(self, seq: Sequence, engine: Engine) -> None:
         left = seq.abandon_at - self.now
@@ -482,8 +477,8 @@
         engine.out[attempt] = None
         if engine.standing is Standing.EJECTED and engine.eject_until <= self.now:
             self._judged(engine, Standing.ON_TRIAL, f"after {engine.pause // MS} ms")
-        engine.sends = [t for t in engine.sends if t > self.now - RATE_WINDOW] + [self.now]
-        self._learn_rate(engine.row.kind)
+        if engine in seq.turns:
+            seq.turns.remove(engine)
         self._change(seq, State.READING if reads else State.WRITING, engine, time_out=time_out)
 
     def _give_up(self, seq: Sequence) -> None:
--- a/aniserudder/simhost.py
+++ b/aniserudder/simhost.py
@@ -55,7 +55,6 @@
         max_come_back=micros(bounds.get("max-retry-after")) if bounds.get("retry-after") else 0,
         cold_share=rules.get("cold-share", 0.0),
         cold_time=micros(rules.get("cold")), fall_multiple=rules.get("fall-multiple", 1.0),
-        fall_window=micros(rules.get("fall")),
         allowances={o["name"]: o.get("allowance-per-s", 0.0) for o in info.get("orgs", [])})
 
 
--- a/aniserudder/state.py
+++ b/aniserudder/state.py
@@ -28,7 +28,7 @@
     stream_pace: float = 0.0     # observed stream time over the expected one; 0: not seen
     kept: dict[str, tuple[int, int]] = field(default_factory=dict)  # key: (tokens, noted at)
     out: dict[Attempt, None] = field(default_factory=dict)
-    sends: list[int] = field(default_factory=list)
+    turn: float = 0.0            # while cold: grows to 1, then one sequence is sent
     report: Report | None = None
     sent_since: int = 0
     probed_at: int = 0
@@ -69,6 +69,7 @@
     local: bool = False
     over_share: bool = False
     tried: list[Engine] = field(default_factory=list)
+    turns: list[Engine] = field(default_factory=list)  # cold engines that are due this sequence
 
 
 @dataclass(slots=True, eq=False)
