Ties among writers are parted by chance in proportion to size

Also covers any fleet much larger than what a node sees. Could harm: none known; with many own streams it only parts ties.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -383,12 +383,14 @@
         return not engine.limit or engine.streams < part * engine.limit
 
     def _load(self, engine: Engine) -> float:
-        """By last report and own sends since, else own streams; set against the listed size."""
+        """By last report and own sends since, else own streams; set against the listed size. Chance parts what
+        is alike, in proportion to size: else the nodes of a large deployment, which have hardly any own streams,
+        would all take the same engine."""
         report = engine.report
         if report and "inflight" in report.values and self.now - report.at < 3 * PROBE_EVERY:
             full = 1 + report.values.get("x0", 0.0)  # share of memory held
-            return (report.values["inflight"] + engine.sent_since + 1) * full / engine.row.size
-        return (engine.streams + 1) / engine.row.size
+            return (report.values["inflight"] + engine.sent_since + self.chance()) * full / engine.row.size
+        return (engine.streams + self.chance()) / engine.row.size
 
     def _writer(self, seq: Sequence, room: bool) -> Engine | None:
         """Most room; the reader's rack is preferred among writers with like room."""
@@ -404,9 +406,10 @@
         """A writer with room that may read, else a mixed engine, by longest kept beginning."""
         free = [e for e in self._usable(seq, Role.WRITER)
                 if self._has_room(e, seq) and self._soon(e, seq, self.local_part)]
-        least = min((self._load(e) for e in free), default=0)
-        roomy = [e for e in free if self._load(e) <= LOCAL_ROOM * least] if self.settings.writers_read else []
-        best = max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
+        least = min((e.streams / e.row.size for e in free), default=0)
+        roomy = [e for e in free if e.streams / e.row.size <= 1 + LOCAL_ROOM * least]
+        best = max(roomy if self.settings.writers_read else (), key=lambda e: (self._kept(e, seq), -self._load(e)),
+                   default=None)
         return best or self._mixed(seq)
 
     def _mixed(self, seq: Sequence) -> Engine | None:
