All nodes presume a shared beginning at the same readers and a session at one of them

Covers any number of nodes. Could harm: a shared beginning is read at three readers rather than one.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -46,6 +46,7 @@
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
 READ_STEP = 0.2                 # weight of the last read in an engine's pace
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
+HOMES = 3                       # readers that are presumed to keep a shared beginning
 AWAY_TOKENS = 2500              # a beginning kept in another zone counts as so much shorter
 OTHER_RACK, OTHER_ZONE = 3.0, 4.5  # a writer's load counts as this many times when the state has to travel
 LOCAL_ROOM = 1.5                # a writer has room while its load is within this multiple of the least
@@ -355,11 +356,17 @@
         return fresh or well
 
     def _reader(self, seq: Sequence) -> Engine | None:
-        """Longest kept beginning, else by hash; the next one when that would use up the latency SLO."""
+        """Longest kept beginning, else by hash; the next one when that would use up the latency SLO. A session's
+        turns come by way of any node, and a node knows its own sends only: so all presume a shared beginning at
+        the same few readers, and a session at the same one of these."""
         readers = self._usable(seq, Role.READER)
-        key = seq.prompt.shared or seq.prompt.session
+        shared, session = seq.prompt.shared, seq.prompt.session
         away = {e: e.row.zone != self.settings.zone for e in readers}
-        readers.sort(key=lambda e: (AWAY_TOKENS * away[e] - self._kept(e, seq), away[e], rank(e, key)))
+        if shared:
+            readers.sort(key=lambda e: (away[e], rank(e, shared)))
+        homes = readers[:HOMES] if shared else readers
+        kept = {e: max(self._kept(e, seq), seq.prompt.shared_tokens * (e in homes)) for e in readers}
+        readers.sort(key=lambda e: (AWAY_TOKENS * away[e] - kept[e], away[e], e not in homes, rank(e, session)))
         best = next((e for e in readers if self._soon(e, seq, SPILL)),
                     min(readers, key=lambda e: self._read_time(e, seq), default=None))
         # A client's later tries bring little time with them. A pace learned in a jam may be old: an idle
