What is known of an engine's pace fades; slow starts are judged by the node's usual wait

Cause: a node that hears from an engine once in twenty seconds judged it by one old read, spilled away from good homes and lost their kept beginnings; and judged starts by a median over engines it hardly knew. Could harm: an engine that stays slow is tried again after some seconds; health has to keep it out.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -10,7 +10,6 @@
 import math
 from hashlib import blake2b
 from random import Random
-from statistics import median
 
 from .interface import (Availability, Change, Effect, EngineChange, Outcome, Prompt, Report, Role, RosterRow,
                         SequenceChange, Settings, Standing, State)
@@ -44,7 +43,8 @@
 LOCAL_SOON = 0.2                # the same for a local read
 AT_EASE = 0.4                   # part of the expected stream time below which a mixed engine may read longer
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
-READ_STEP = 0.2                 # weight of the last read in an engine's pace
+READ_STEP, USUAL_STEP = 0.2, 0.1  # weight of the last read in an engine's pace, and in its role's
+PACE_FOR = 3 * S                # what is known of an engine's pace fades in this time
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
 HOMES = 3                       # readers that are presumed to keep a shared beginning
 AWAY_TOKENS = 2500              # a beginning kept in another zone counts as so much shorter
@@ -54,18 +54,16 @@
 ADMIT = 0.8                     # part of the SLO still left that reading may take
 QUICK = 0.25                    # part of the latency SLO within which a writer with room starts an answer
 QUICK_LOCAL = 0.6               # the same where it has to read first
-LIMIT_CUT, LIMIT_STEP = 0.85, 2.0  # a writer's stream limit: cut for a late start, raised by a full turn
-LIMIT_EVERY = 500 * MS
-LEAST_LIMIT = 6.0
+LIMIT_CUT, LIMIT_EVERY = 0.85, 500 * MS  # a writer's stream limit: cut for a late start, so often at most
+LIMIT_STEP, LEAST_LIMIT = 2.0, 6.0  # raised by so much in a full turn
 LESS_ROOM = 0.85                # of the limit, for what is beyond a customer's share or of lower utility
 COME_BACK = 0.25                # part of the longest time clients heed: the SLO is not gone by then
 # Health.
-FAR_SLOWER = 4.0                # times the peers' median wait for a first token
+FAR_SLOWER = 4.0                # times the usual wait for a first token
 EJECT_AFTER = 3                 # failures in a row
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 3 * S
 # Time-outs.
-READ_PATIENCE = 3.0             # times the expected read
-READ_SLO_PART = 0.8             # but at least this part of the latency SLO
+READ_PATIENCE, READ_SLO_PART = 3.0, 0.8  # times the expected read, but at least this part of the latency SLO
 # Cold engines.
 COLD_SAFE = 0.7                 # part of the fall multiple that is used
 PROBE_EVERY = 1 * S
@@ -102,6 +100,8 @@
         self.scan = 0             # the half period of the scan that runs; past the last, epsilon trials
         self.period_end = 0
         self.trials = 0.0         # trials that may still be made
+        self.read_pace: dict[Role, float] = {}
+        self.usual_wait = 0.0     # for a first token at a warm writer that fetches
         self.cold: list[Engine] = []
         self.sizes = {True: 0.0, False: 0.0}  # of all listed readers, and of all others
         self.buckets: dict[str, tuple[float, int]] = {}
@@ -369,19 +369,19 @@
         readers.sort(key=lambda e: (AWAY_TOKENS * away[e] - kept[e], away[e], e not in homes, rank(e, session)))
         best = next((e for e in readers if self._soon(e, seq, SPILL)),
                     min(readers, key=lambda e: self._read_time(e, seq), default=None))
-        # A client's later tries bring little time with them. A pace learned in a jam may be old: an idle
-        # reader is tried where a usual pace would do.
+        # A client's later tries bring little time with them.
         left = min(seq.slo_at, seq.abandon_at) - self.now
-        in_time = best and (self._read_time(best, seq) <= ADMIT * left or not best.reading
-                            and FIRST_READ_PACE * (READ_OVERHEAD + self._left(best, seq)) <= left)
-        return best if in_time else None
+        return best if best and self._read_time(best, seq) <= ADMIT * left else None
 
     def _soon(self, engine: Engine, seq: Sequence, part: float) -> bool:
         return self._read_time(engine, seq) <= part * (seq.slo_at - seq.arrived)
 
     def _read_time(self, engine: Engine, seq: Sequence) -> float:
-        """By the pace seen for own tokens outstanding, in which the other nodes' work shows."""
-        return (engine.read_pace or FIRST_READ_PACE) * (
+        """By the pace seen for own tokens outstanding, in which the other nodes' work shows. It soon tells
+        nothing more: then the engine is taken for as quick as its role usually is."""
+        usual = self.read_pace.get(engine.role, FIRST_READ_PACE)
+        known = math.exp((engine.read_at - self.now) / PACE_FOR) if engine.read_pace else 0.0
+        return (usual + known * (engine.read_pace - usual)) * (
             engine.reading + READ_OVERHEAD + self._left(engine, seq))
 
     def _has_room(self, engine: Engine, seq: Sequence) -> bool:
@@ -405,8 +405,7 @@
             at = seq.reader.row if seq.reader else e.row
             far = OTHER_ZONE if e.row.zone != at.zone else OTHER_RACK if e.row.rack != at.rack else 1
             return self._load(e) * far
-        writers = self._usable(seq, Role.WRITER, Role.MIXED)
-        writers = [e for e in writers if not room or self._has_room(e, seq)]
+        writers = [e for e in self._usable(seq, Role.WRITER, Role.MIXED) if not room or self._has_room(e, seq)]
         return min(writers, key=cost, default=None)
 
     def _local_engine(self, seq: Sequence) -> Engine | None:
@@ -557,6 +556,9 @@
         if learn and attempt.reads:
             pace = (self.now - attempt.sent_at) / max(1, attempt.queue)
             engine.read_pace += READ_STEP * (pace - engine.read_pace) if engine.read_pace else pace
+            engine.read_at = self.now
+            usual = self.read_pace.get(engine.role, FIRST_READ_PACE)
+            self.read_pace[engine.role] = usual + USUAL_STEP * (pace - usual)
 
     def _limit(self, engine: Engine, late: bool) -> None:
         """Own streams at a writer, held to what it starts in time. Others' streams show in starts alone."""
@@ -568,15 +570,14 @@
             engine.limit += LIMIT_STEP / engine.limit
 
     def _far_slower(self, attempt: Attempt) -> bool:
-        """A start at a warm writer that took far longer than its peers' usual ones: the engine or its link is
-        slow. A queue that all have does not count."""
-        engine, seq = attempt.engine, attempt.seq
+        """A start at a warm writer that took far longer than is usual: the engine or its link is slow. A queue
+        that all have does not count."""
+        engine, seq, usual = attempt.engine, attempt.seq, self.usual_wait
         if attempt.reads or engine.role is Role.READER or self._is_cold(engine):
             return False
         took = self.now - attempt.sent_at
-        engine.wait += PACE_STEP * (took - engine.wait)
-        peers = [e.wait for e in self.engines.values() if e.listed and e.wait and e is not engine]
-        return bool(peers) and took > max(QUICK * (seq.slo_at - seq.arrived), FAR_SLOWER * median(peers))
+        self.usual_wait = took if not usual else usual + PACE_STEP * (min(took, 2 * usual) - usual)
+        return 0 < usual < took / FAR_SLOWER and took > QUICK * (seq.slo_at - seq.arrived)
 
     def _good(self, attempt: Attempt) -> None:
         """Only what was sent since an ejection speaks for the engine: older answers would readmit one that
--- a/aniserudder/state.py
+++ b/aniserudder/state.py
@@ -24,7 +24,7 @@
     reading: int = 0             # own prompt tokens out to be read
     streams: int = 0             # own schedule attempts and streams at a writer or mixed engine
     read_pace: float = 0.0       # observed read time for each own token outstanding; 0: not seen
-    wait: float = 0.0            # usual time to a first token at a writer; 0: not seen
+    read_at: int = 0             # when that pace was last seen
     stream_pace: float = 0.0     # observed stream time over the expected one; 0: not seen
     kept: dict[str, tuple[int, int]] = field(default_factory=dict)  # key: (tokens, noted at)
     out: dict[Attempt, None] = field(default_factory=dict)
