--- a/aniserudder/interface.py
+++ b/aniserudder/interface.py
@@ -87,6 +87,7 @@
     roles: dict[str, Role]
     writers_read: bool
     may_probe: bool
+    may_recall: bool
     report_fields: tuple[str, ...]
     max_attempts: int
     max_come_back: int  # 0: clients are given no come-back time
@@ -131,6 +132,7 @@
     time_out: int = 0
     come_back: int = 0
     lets_go: bool = False  # what is held for the sequence is let go before this change is carried out
+    recalls: bool = False  # the schedule attempt that is out is called off
 
 
 @dataclass(slots=True, frozen=True)
--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -192,8 +192,7 @@
         return self._done()
 
     def client_left(self, now: int, id: str) -> list[Change]:
-        self.now = now
-        seq = self.seqs.get(id)
+        self.now, seq = now, self.seqs.get(id)
         if seq and seq.state not in FINAL:
             self._change(seq, State.LEFT)
         return self._done()
@@ -509,9 +508,10 @@
         lets_go = seq.pinned and (sends and not seq.held or state in FINAL and seq.out is None)
         if lets_go:
             seq.held = seq.pinned = False
-        ordinal = seq.out.ordinal if seq.out else 0
-        name = engine.id if engine else ""
-        self.changes.append(SequenceChange(seq.id, state, name, ordinal, time_out, come_back, lets_go))
+        ordinal, name = seq.out.ordinal if seq.out else 0, engine.id if engine else ""
+        # What a client has left is recalled: where many leave and come again, nobody's work fills the queues.
+        recalls = state is State.LEFT and seq.out is not None and self.settings.may_recall
+        self.changes.append(SequenceChange(seq.id, state, name, ordinal, time_out, come_back, lets_go, recalls))
         if state in FINAL and seq.out is None:
             self.seqs.pop(seq.id, None)
 
--- a/aniserudder/simhost.py
+++ b/aniserudder/simhost.py
@@ -49,7 +49,7 @@
         nodes=max(1, info.get("balancers", 1)), zone=info.get("zone", ""), types=types,
         roles={k: ROLES.get(d, Role.UNKNOWN) for k, d in zip(kinds, duties)},
         writers_read=bool(fam.get("self-prefill")),
-        may_probe=bool(bounds.get("probing")),
+        may_probe=bool(bounds.get("probing")), may_recall=bool(bounds.get("cancelling")),
         report_fields=tuple(feedback.get("columns", []) if feedback.get("how") != "silent" else ()),
         max_attempts=bounds.get("max-attempts", 1),
         max_come_back=micros(bounds.get("max-retry-after")) if bounds.get("retry-after") else 0,
@@ -126,6 +126,8 @@
             return done
         done = [self.act("give-up-hold", **{"request-id": change.seq})] if change.lets_go else []
         ref = {"request-id": change.seq}
+        if change.recalls:
+            done.append(self.act("call-off", **ref, leg=change.ordinal))
         match change.state:
             case State.READING | State.WRITING:
                 limit = {"give-up-after": change.time_out / 1e6}
--- a/tests/story.py
+++ b/tests/story.py
@@ -16,7 +16,7 @@
     base = dict(nodes=2, zone="east",
                 types=(of("note", 1, Effect.REPEATABLE), of("post", 3, Effect.ONCE_ONLY), of("mark", 2, Effect.TOKENED)),
                 roles={"r": Role.READER, "w": Role.WRITER, "m": Role.MIXED}, writers_read=True,
-                may_probe=False, report_fields=(), max_attempts=4, max_come_back=S,
+                may_probe=False, may_recall=True, report_fields=(), max_attempts=4, max_come_back=S,
                 cold_share=0.3, cold_time=10 * S, fall_multiple=2.5,
                 allowances={})
     return Settings(**{**base, **changes})
@@ -35,7 +35,7 @@
         for c in changes:
             if isinstance(c, SequenceChange):
                 extra = f" {c.engine}" * bool(c.engine) + f" time-out {c.time_out / S:.3f}" * bool(c.time_out)
-                extra += f" come back {c.come_back / S:.3f}" * bool(c.come_back) + " lets go" * c.lets_go
+                extra += f" come back {c.come_back / S:.3f}" * bool(c.come_back) + " lets go" * c.lets_go + " recalled" * c.recalls
                 self.lines.append(f"          -> {c.seq} {c.state.value}{extra}")
             else:
                 self.lines.append(f"          -> {c.engine} {c.standing.value} {c.reason}{' probe' * c.probe}")
