--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -43,23 +43,20 @@
 LOCAL_SOON = 0.2                # the same for a local read
 AT_EASE = 0.4                   # part of the expected stream time below which a mixed engine may read longer
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
-READ_STEP, USUAL_STEP = 0.2, 0.1  # weight of the last read in an engine's pace, and in its role's
+READ_STEP = 0.2                 # weight of the last read in an engine's pace
 PACE_FOR = 3 * S                # what is known of an engine's pace fades in this time
+USUAL_FOR = 3 * S               # what is usual is a mean over such a time, however few sequences a node sees
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
 HOMES = 3                       # readers that are presumed to keep a shared beginning
 AWAY_TOKENS = 2500              # a beginning kept in another zone counts as so much shorter
-OTHER_RACK, OTHER_ZONE = 3.0, 4.5  # a writer's load counts as this many times when the state has to travel
+OTHER_RACK, OTHER_ZONE = 10.0, 20.0  # a writer's load counts as this many times when the state has to travel
 LOCAL_ROOM = 1.5                # a writer has room while its load is within this multiple of the least
 # Admission: what cannot be in time is turned away before it costs work.
 ADMIT = 0.8                     # part of the SLO still left that reading may take
-QUICK = 0.25                    # part of the latency SLO within which a writer with room starts an answer
-QUICK_LOCAL = 0.6               # the same where it has to read first
-LIMIT_CUT, LIMIT_EVERY = 0.85, 500 * MS  # a writer's stream limit: cut for a late start, so often at most
-LIMIT_STEP, LEAST_LIMIT = 2.0, 6.0  # raised by so much in a full turn
-LESS_ROOM = 0.85                # of the limit, for what is beyond a customer's share or of lower utility
+LESS_ROOM = 0.6                 # of that, for what is beyond a customer's share
 COME_BACK = 0.25                # part of the longest time clients heed: the SLO is not gone by then
 # Health.
-FAR_SLOWER = 4.0                # times the usual wait for a first token
+FAR_SLOWER, QUICK = 4.0, 0.25   # times the usual wait for a first token, and this part of the latency SLO
 EJECT_AFTER = 3                 # failures in a row
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 3 * S
 # Time-outs.
@@ -102,6 +99,7 @@
         self.trials = 0.0         # trials that may still be made
         self.read_pace: dict[Role, float] = {}
         self.usual_wait = 0.0     # for a first token at a warm writer that fetches
+        self.noted: dict[object, int] = {}  # when what is usual was last noted
         self.cold: list[Engine] = []
         self.sizes = {True: 0.0, False: 0.0}  # of all listed readers, and of all others
         self.buckets: dict[str, tuple[float, int]] = {}
@@ -154,8 +152,6 @@
                 self._failed(attempt, "far slower than its peers")
             else:
                 self._good(attempt)
-            part = QUICK_LOCAL if attempt.reads else QUICK
-            self._limit(attempt.engine, now - attempt.sent_at > part * (seq.slo_at - seq.arrived))
             self._change(seq, State.STREAMING, attempt.engine)
         return self._done()
 
@@ -242,12 +238,12 @@
             spare = None if reader and self._soon(reader, seq, SPILL) else self._mixed(seq)
             if spare:
                 return self._send(seq, spare)
-            if reader and not last and self._writer(seq, room=True):
+            if reader and not last and self._writer(seq):
                 return self._send(seq, reader)
             if writer:  # no reader in time: a writer with room reads even a long remainder before a refusal
                 return self._send(seq, writer)
             return self._give_up(seq)
-        writer = self._writer(seq, room=True) or self._writer(seq, room=False)
+        writer = self._writer(seq)
         if writer:
             return self._send(seq, writer)
         self._give_up(seq)
@@ -309,11 +305,8 @@
             row.streams += 1
             if row.streams >= 1 / STREAM_STEP:
                 row.best_stream = min(row.best_stream or row.mean_stream, row.mean_stream)
-            # Slow streams cut a writer's limit like late starts: reads between their steps hold answers up.
             if seq.output:
                 engine.stream_pace += PACE_STEP * (min(3.0, stream / seq.output) - engine.stream_pace)
-                if engine.stream_pace > 1:
-                    self._limit(engine, True)
         if seq.cluster is None or seq.over_share or not seq.attempts:
             return
         local = seq.attempts[0].engine.role is not Role.READER
@@ -370,7 +363,8 @@
                     min(readers, key=lambda e: self._read_time(e, seq), default=None))
         # A client's later tries bring little time with them.
         left = min(seq.slo_at, seq.abandon_at) - self.now
-        return best if best and self._read_time(best, seq) <= ADMIT * left else None
+        part = ADMIT * (LESS_ROOM if seq.over_share else 1.0)
+        return best if best and self._read_time(best, seq) <= part * left else None
 
     def _soon(self, engine: Engine, seq: Sequence, part: float) -> bool:
         return self._read_time(engine, seq) <= part * (seq.slo_at - seq.arrived)
@@ -383,11 +377,6 @@
         return (usual + known * (engine.read_pace - usual)) * (
             engine.reading + READ_OVERHEAD + self._left(engine, seq))
 
-    def _has_room(self, engine: Engine, seq: Sequence) -> bool:
-        most = max(r.utility for r in self.rows.values())
-        part = LESS_ROOM if seq.over_share or seq.row.utility < most else 1.0
-        return not engine.limit or engine.streams < part * engine.limit
-
     def _load(self, engine: Engine) -> float:
         """By last report and own sends since, else own streams; set against the listed size. Chance parts what
         is alike, in proportion to size: else the nodes of a large deployment, which have hardly any own streams,
@@ -398,19 +387,17 @@
             return (report.values["inflight"] + engine.sent_since + self.chance()) * full / engine.row.size
         return (engine.streams + self.chance()) / engine.row.size
 
-    def _writer(self, seq: Sequence, room: bool) -> Engine | None:
+    def _writer(self, seq: Sequence) -> Engine | None:
         """Most room; the reader's rack is preferred among writers with like room."""
         def cost(e: Engine) -> float:
             at = seq.reader.row if seq.reader else e.row
             far = OTHER_ZONE if e.row.zone != at.zone else OTHER_RACK if e.row.rack != at.rack else 1
             return self._load(e) * far
-        writers = [e for e in self._usable(seq, Role.WRITER, Role.MIXED) if not room or self._has_room(e, seq)]
-        return min(writers, key=cost, default=None)
+        return min(self._usable(seq, Role.WRITER, Role.MIXED), key=cost, default=None)
 
     def _local_engine(self, seq: Sequence) -> Engine | None:
         """A writer with room that may read, else a mixed engine, by longest kept beginning."""
-        free = [e for e in self._usable(seq, Role.WRITER)
-                if self._has_room(e, seq) and self._soon(e, seq, self.local_part)]
+        free = [e for e in self._usable(seq, Role.WRITER) if self._soon(e, seq, self.local_part)]
         least = min((e.streams / e.row.size for e in free), default=0)
         roomy = [e for e in free if e.streams / e.row.size <= 1 + LOCAL_ROOM * least]
         best = max(roomy if self.settings.writers_read else (), key=lambda e: (self._kept(e, seq), -self._load(e)),
@@ -418,11 +405,10 @@
         return best or self._mixed(seq)
 
     def _mixed(self, seq: Sequence) -> Engine | None:
-        """A mixed engine with room, by longest kept beginning. One whose streams run well may read longer."""
+        """A mixed engine, by longest kept beginning. One whose streams run well may read longer."""
         def part(e: Engine) -> float:
             return max(self.local_part, SPILL if e.stream_pace < AT_EASE else 0.0)
-        free = [e for e in self._usable(seq, Role.MIXED)
-                if self._has_room(e, seq) and self._soon(e, seq, part(e))]
+        free = [e for e in self._usable(seq, Role.MIXED) if self._soon(e, seq, part(e))]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
@@ -506,8 +492,8 @@
         seq.state = state
         sends = state in (State.READING, State.WRITING)
         lets_go = seq.pinned and (sends and not seq.held or state in FINAL and seq.out is None)
-        if lets_go:
-            seq.held = seq.pinned = False
+        if lets_go:  # and again at the end: across a cut a state may outlast being let go once
+            seq.held = False
         ordinal, name = seq.out.ordinal if seq.out else 0, engine.id if engine else ""
         # What a client has left is recalled: where many leave and come again, nobody's work fills the queues.
         recalls = state is State.LEFT and seq.out is not None and self.settings.may_recall
@@ -538,11 +524,7 @@
             engine.last_good = self.now  # its start was judged when it came
         elif outcome in (Outcome.READ, Outcome.GENERATED):
             self._good(attempt)
-        elif outcome is Outcome.FULL:
-            self._limit(engine, True)
         elif outcome in ILL:
-            if outcome is Outcome.TIMED_OUT and engine.role is not Role.READER:
-                self._limit(engine, True)
             # A time-out at an engine that has answered others since is a queue, not an illness.
             quiet = engine.last_good < attempt.sent_at
             if outcome is not Outcome.TIMED_OUT or quiet or self._far_slower(attempt):
@@ -550,6 +532,11 @@
         if engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at:
             engine.standing = Standing.EJECTED  # the trial told nothing: the next sequence is another
 
+    def _weight(self, of: object) -> float:
+        """Of the newest value in what is usual: more, the longer nothing was seen."""
+        since, self.noted[of] = self.now - self.noted.get(of, 0), self.now
+        return 1 - math.exp(-since / USUAL_FOR)
+
     def _read_over(self, attempt: Attempt, learn: bool = True) -> None:
         engine = attempt.engine
         engine.reading -= attempt.reads
@@ -558,16 +545,7 @@
             engine.read_pace += READ_STEP * (pace - engine.read_pace) if engine.read_pace else pace
             engine.read_at = self.now
             usual = self.read_pace.get(engine.role, FIRST_READ_PACE)
-            self.read_pace[engine.role] = usual + USUAL_STEP * (pace - usual)
-
-    def _limit(self, engine: Engine, late: bool) -> None:
-        """Own streams at a writer, held to what it starts in time. Others' streams show in starts alone."""
-        if late and self.now - engine.cut_at >= LIMIT_EVERY:
-            engine.cut_at = self.now
-            now_held = min(engine.limit or engine.streams, engine.streams + 1)
-            engine.limit = max(LEAST_LIMIT, LIMIT_CUT * now_held)
-        elif not late and engine.stream_pace < 1 and 0 < engine.limit * LESS_ROOM <= engine.streams + 1:
-            engine.limit += LIMIT_STEP / engine.limit
+            self.read_pace[engine.role] = usual + self._weight(engine.role) * (pace - usual)
 
     def _far_slower(self, attempt: Attempt) -> bool:
         """A start at a warm writer that took far longer than is usual: the engine or its link is slow. A queue
@@ -576,7 +554,7 @@
         if attempt.reads or engine.role is Role.READER or self._is_cold(engine):
             return False
         took = self.now - attempt.sent_at
-        self.usual_wait = took if not usual else usual + PACE_STEP * (min(took, 2 * usual) - usual)
+        self.usual_wait = took if not usual else usual + self._weight("wait") * (min(took, 2 * usual) - usual)
         return 0 < usual < took / FAR_SLOWER and took > QUICK * (seq.slo_at - seq.arrived)
 
     def _good(self, attempt: Attempt) -> None:
--- a/aniserudder/state.py
+++ b/aniserudder/state.py
@@ -18,8 +18,6 @@
     pause: int = 0               # length of the present ejection
     ejected_at: int = 0
     eject_until: int = 0
-    limit: float = 0.0           # own streams it can start in time; 0: not met yet
-    cut_at: int = 0
     last_good: int = 0
     reading: int = 0             # own prompt tokens out to be read
     streams: int = 0             # own schedule attempts and streams at a writer or mixed engine
