--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -47,7 +47,7 @@
 PACE_FOR = 3 * S                # what is known of an engine's pace fades in this time
 USUAL_FOR = 3 * S               # what is usual is a mean over such a time, however few sequences a node sees
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
-HOMES = 3                       # readers that are presumed to keep a shared beginning
+HOME_PART = 0.4                 # of a zone's readers: presumed to keep a shared beginning
 AWAY_TOKENS = 2500              # a beginning kept in another zone counts as so much shorter
 OTHER_RACK, OTHER_ZONE = 10.0, 20.0  # a writer's load counts as this many times when the state has to travel
 LOCAL_ROOM = 1.5                # a writer has room while its load is within this multiple of the least
@@ -97,6 +97,7 @@
         self.scan = 0             # the half period of the scan that runs; past the last, epsilon trials
         self.period_end = 0
         self.trials = 0.0         # trials that may still be made
+        self.homes: dict[str, list[Engine]] = {}  # by shared beginning, under the present roster
         self.read_pace: dict[Role, float] = {}
         self.usual_wait = 0.0     # for a first token at a warm writer that fetches
         self.noted: dict[object, int] = {}  # when what is usual was last noted
@@ -121,6 +122,7 @@
                 engine.failures, engine.turn = 0, self.chance()
             engine.row, engine.role = row, role
             engine.listed = row.availability is Availability.RUNNING
+        self.homes.clear()
         listed = [e for e in self.engines.values() if e.listed]
         self.cold = [e for e in listed if self._is_cold(e)]
         for reads in (True, False):
@@ -134,7 +136,7 @@
         output = prompt.hint or round(SLOW * row.best_stream)
         slo = row.slo + row.slo_per_1000 * prompt.tokens // 1000
         seq = Sequence(id, prompt, row, now, now + slo, now + prompt.time_left, output)
-        seq.over_share = self._over_share(prompt.customer)
+        seq.over_share, seq.homes = self._over_share(prompt.customer), self._homes(prompt.shared)
         self.seqs[id] = seq
         self._take_turns(seq)
         self._route(seq)
@@ -322,15 +324,27 @@
         prompt = seq.prompt
         return (prompt.session, prompt.tokens), (prompt.shared, prompt.shared_tokens)
 
-    def _kept(self, engine: Engine | None, seq: Sequence) -> int:
+    def _homes(self, shared: str) -> list[Engine]:
+        """A node knows its own sends only, and of many nodes each sees next to nothing: so all presume a shared
+        beginning to be kept by the same part of their zone's readers, by hash."""
+        if shared not in self.homes:
+            near = sorted((e for e in self.engines.values() if e.listed and e.role is Role.READER
+                           and e.row.zone == self.settings.zone), key=lambda e: rank(e, shared))
+            self.homes[shared] = near[:math.ceil(HOME_PART * len(near))]
+        return self.homes[shared] if shared else []
+
+    def _known(self, engine: Engine, seq: Sequence) -> int:
         best = 0
-        if engine:
-            for key, most in self._keys(seq):
-                tokens, at = engine.kept.get(key, (0, 0)) if key else (0, 0)
-                if self.now - at < KEPT_FOR:
-                    best = max(best, min(tokens, most))
+        for key, most in self._keys(seq):
+            tokens, at = engine.kept.get(key, (0, 0)) if key else (0, 0)
+            if self.now - at < KEPT_FOR:
+                best = max(best, min(tokens, most))
         return best
 
+    def _kept(self, engine: Engine | None, seq: Sequence) -> int:
+        presumed = seq.prompt.shared_tokens if engine in seq.homes else 0
+        return max(presumed, self._known(engine, seq)) if engine else 0
+
     def _keep(self, engine: Engine, seq: Sequence) -> None:
         for key, tokens in self._keys(seq):
             if key and tokens:
@@ -349,16 +363,11 @@
 
     def _reader(self, seq: Sequence) -> Engine | None:
         """Longest kept beginning, else by hash; the next one when that would use up the latency SLO. A session's
-        turns come by way of any node, and a node knows its own sends only: so all presume a shared beginning at
-        the same few readers, and a session at the same one of these."""
-        readers = self._usable(seq, Role.READER)
-        shared, session = seq.prompt.shared, seq.prompt.session
+        turns come by way of any node: so all nodes hash it to the same home."""
+        readers, session = self._usable(seq, Role.READER), seq.prompt.session
         away = {e: e.row.zone != self.settings.zone for e in readers}
-        if shared:
-            readers.sort(key=lambda e: (away[e], rank(e, shared)))
-        homes = readers[:HOMES] if shared else readers
-        kept = {e: max(self._kept(e, seq), seq.prompt.shared_tokens * (e in homes)) for e in readers}
-        readers.sort(key=lambda e: (AWAY_TOKENS * away[e] - kept[e], away[e], e not in homes, rank(e, session)))
+        readers.sort(key=lambda e: (AWAY_TOKENS * away[e] - self._kept(e, seq), away[e], e not in seq.homes,
+                                    rank(e, session)))
         best = next((e for e in readers if self._soon(e, seq, SPILL)),
                     min(readers, key=lambda e: self._read_time(e, seq), default=None))
         # A client's later tries bring little time with them.
@@ -462,7 +471,7 @@
             engine.streams += 1
             engine.sent_since += 1
         engine.reading += remainder
-        attempt = Attempt(seq, engine, len(seq.attempts), self.now, remainder, self._kept(engine, seq),
+        attempt = Attempt(seq, engine, len(seq.attempts), self.now, remainder, self._known(engine, seq),
                           engine.reading)
         if attempt.reads:
             self._keep(engine, seq)  # reads go first come first: what is sent next finds this one's beginning
--- a/aniserudder/state.py
+++ b/aniserudder/state.py
@@ -66,6 +66,7 @@
     cluster: Cluster | None = None
     local: bool = False
     over_share: bool = False
+    homes: list[Engine] = field(default_factory=list)  # presumed to keep its shared beginning
     tried: list[Engine] = field(default_factory=list)
     turns: list[Engine] = field(default_factory=list)  # cold engines that are due this sequence
 
