Writers are waited for six usual waits, at least half the SLO

Cause: a time-out at the SLO restarts a state's move over a jammed link, and waits a whole SLO for an answer that was lost. Also covers hung writers. Could harm: a writer that is slower than usual loses what it has begun.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -61,6 +61,7 @@
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 3 * S
 # Time-outs.
 READ_PATIENCE, READ_SLO_PART = 3.0, 0.8  # times the expected read, but at least this part of the latency SLO
+WAIT_PATIENCE, WAIT_SLO_PART = 6.0, 0.5  # the same for the usual wait at writers
 # Cold engines.
 COLD_SAFE = 0.7                 # part of the fall multiple that is used
 PROBE_EVERY = 1 * S
@@ -467,7 +468,9 @@
             time_out = min(left, round(patience))
         else:
             if more and seq.row.effect is not Effect.ONCE_ONLY:
-                time_out = min(left, max(seq.slo_at - seq.arrived, left // 2))
+                patience = max(WAIT_PATIENCE * self.usual_wait + READ_PATIENCE * read_time,
+                               WAIT_SLO_PART * (seq.slo_at - seq.arrived))
+                time_out = min(left, round(patience))
             engine.streams += 1
             engine.sent_since += 1
         engine.reading += remainder
