Work lost is done again for a bounded part of the sequences

Cause: under answer_lost and overload three attempts a sequence jam the writers, and the jam's time-outs bring the next. Each sequence saves up 0.4 of an attempt, four at most; an attempt that lost work (time-out, cut, error, no state, full excepted) uses one, and without one the sequence is given up at once. Covers any trouble that makes attempts fail in numbers. Could harm: when more than four in ten attempts are lost though capacity is there.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -62,11 +62,13 @@
 # Time-outs.
 READ_PATIENCE, READ_SLO_PART = 3.0, 0.8  # times the expected read, but at least this part of the latency SLO
 WAIT_PATIENCE, WAIT_SLO_PART = 6.0, 0.5  # the same for the usual wait at writers
+AGAIN, MOST_AGAIN = 0.4, 4.0    # attempts in place of lost ones: for each sequence, and saved up at most
 # Cold engines.
 COLD_SAFE = 0.7                 # part of the fall multiple that is used
 PROBE_EVERY = 1 * S
 
 NEVER_RAN = {Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.READ}
+CHEAP = {Outcome.READ, Outcome.FULL, Outcome.NO_ROUTE, Outcome.NOT_SENT}  # no work was lost
 ILL = {Outcome.ERROR, Outcome.TIMED_OUT, Outcome.NO_ROUTE, Outcome.CUT}
 FINAL = {State.GENERATED, State.REJECTED, State.ABORTED, State.LEFT, State.CLEARED}
 
@@ -102,6 +104,7 @@
         self.read_pace: dict[Role, float] = {}
         self.usual_wait = 0.0     # for a first token at a warm writer that fetches
         self.noted: dict[object, int] = {}  # when what is usual was last noted
+        self.again = MOST_AGAIN   # schedule attempts that may still replace lost ones
         self.cold: list[Engine] = []
         self.sizes = {True: 0.0, False: 0.0}  # of all listed readers, and of all others
         self.buckets: dict[str, tuple[float, int]] = {}
@@ -137,6 +140,7 @@
         output = prompt.hint or round(SLOW * row.best_stream)
         slo = row.slo + row.slo_per_1000 * prompt.tokens // 1000
         seq = Sequence(id, prompt, row, now, now + slo, now + prompt.time_left, output)
+        self.again = min(MOST_AGAIN, self.again + AGAIN)
         seq.over_share, seq.homes = self._over_share(prompt.customer), self._homes(prompt.shared)
         self.seqs[id] = seq
         self._take_turns(seq)
@@ -185,7 +189,13 @@
                 seq.tried.append(engine)
                 if outcome is Outcome.NO_STATE and seq.reader:
                     seq.tried.append(seq.reader)  # the two may be cut off from each other: read elsewhere
-            self._route(seq)
+                # Work lost is done again only so often, whatever lost it: else a jam feeds itself.
+                self.again -= outcome not in CHEAP
+            if self.again < 0:
+                self.again = 0.0
+                self._give_up(seq)
+            else:
+                self._route(seq)
         if seq.state in FINAL:
             self.seqs.pop(id, None)
         return self._done()
