--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -62,7 +62,7 @@
 # Time-outs.
 READ_PATIENCE, READ_SLO_PART = 3.0, 0.8  # times the expected read, but at least this part of the latency SLO
 WAIT_PATIENCE, WAIT_SLO_PART = 6.0, 0.5  # the same for the usual wait at writers
-AGAIN, MOST_AGAIN = 0.4, 4.0    # attempts in place of lost ones: for each sequence, and saved up at most
+AGAIN, MOST_AGAIN = 0.1, 2.0    # attempts in place of lost ones: for each sequence, and saved up at most
 # Cold engines.
 COLD_SAFE = 0.7                 # part of the fall multiple that is used
 PROBE_EVERY = 1 * S
