Local reads must fit into what is left of the try; a lost read does not slow the role's pace

Cause there (give_up): reads at readers had to fit into what is left of a client's try, local ones had not, so short tries went to mixed engines and timed out. Covers clients' later tries of any cause. Could harm: a try that a lucky read would have served is turned away.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -381,13 +381,12 @@
                                     rank(e, session)))
         best = next((e for e in readers if self._soon(e, seq, SPILL)),
                     min(readers, key=lambda e: self._read_time(e, seq), default=None))
-        # A client's later tries bring little time with them.
-        left = min(seq.slo_at, seq.abandon_at) - self.now
-        part = ADMIT * (LESS_ROOM if seq.over_share else 1.0)
-        return best if best and self._read_time(best, seq) <= part * left else None
+        return best if best and self._soon(best, seq, LESS_ROOM if seq.over_share else 1.0) else None
 
     def _soon(self, engine: Engine, seq: Sequence, part: float) -> bool:
-        return self._read_time(engine, seq) <= part * (seq.slo_at - seq.arrived)
+        """Within this part of the SLO, and within what is left of it and of a client's try."""
+        left = min(seq.slo_at, seq.abandon_at) - self.now
+        return self._read_time(engine, seq) <= min(part * (seq.slo_at - seq.arrived), ADMIT * left)
 
     def _read_time(self, engine: Engine, seq: Sequence) -> float:
         """By the pace seen for own tokens outstanding, in which the other nodes' work shows. It soon tells
@@ -531,7 +530,7 @@
         seq.out = None
         engine.out.pop(attempt, None)
         if not attempt.started_at:
-            self._read_over(attempt, learn=outcome in (Outcome.READ, Outcome.TIMED_OUT))
+            self._read_over(attempt, outcome in (Outcome.READ, Outcome.TIMED_OUT), outcome is Outcome.TIMED_OUT)
         if engine.role is not Role.READER:
             engine.streams -= 1
             engine.sent_since -= 1
@@ -559,15 +558,17 @@
         since, self.noted[of] = self.now - self.noted.get(of, 0), self.now
         return 1 - math.exp(-since / USUAL_FOR)
 
-    def _read_over(self, attempt: Attempt, learn: bool = True) -> None:
+    def _read_over(self, attempt: Attempt, learn: bool = True, late: bool = False) -> None:
         engine = attempt.engine
         engine.reading -= attempt.reads
         if learn and attempt.reads:
             pace = (self.now - attempt.sent_at) / max(1, attempt.queue)
             engine.read_pace += READ_STEP * (pace - engine.read_pace) if engine.read_pace else pace
             engine.read_at = self.now
-            usual = self.read_pace.get(engine.role, FIRST_READ_PACE)
-            self.read_pace[engine.role] = usual + self._weight(engine.role) * (pace - usual)
+            # A time-out after others of the role have read is the engine's own, or its answer was lost.
+            if not late or self.noted.get(engine.role, 0) < attempt.sent_at:
+                usual = self.read_pace.get(engine.role, FIRST_READ_PACE)
+                self.read_pace[engine.role] = usual + self._weight(engine.role) * (pace - usual)
 
     def _far_slower(self, attempt: Attempt) -> bool:
         """A start at a warm writer that took far longer than is usual: the engine or its link is slow. A queue
