A shared beginning has three homes in a zone at most

Kept: four tenths, three at most. Could harm: a very hot beginning jams its three homes until reads spill.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -48,7 +48,7 @@
 WAIT_FOR = 3 * S                # what is known of an engine's wait fades in this time
 USUAL_FOR = 3 * S               # what is usual is a mean over such a time, however few sequences a node sees
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
-HOME_PART = 0.4                 # of a zone's readers: presumed to keep a shared beginning
+HOME_PART, MOST_HOMES = 0.4, 3  # of a zone's readers, at most so many: presumed to keep a shared beginning
 AWAY_TOKENS = 2500              # a beginning kept in another zone counts as so much shorter
 OTHER_RACK, OTHER_ZONE = 10.0, 20.0  # a writer's load counts as this many times when the state has to travel
 LOCAL_ROOM = 1.5                # a writer has room while its load is within this multiple of the least
@@ -337,11 +337,11 @@
 
     def _homes(self, shared: str) -> list[Engine]:
         """A node knows its own sends only, and of many nodes each sees next to nothing: so all presume a shared
-        beginning to be kept by the same part of their zone's readers, by hash."""
+        beginning to be kept by the same part of their zone's readers, by hash. More could not hold it all."""
         if shared not in self.homes:
             near = sorted((e for e in self.engines.values() if e.listed and e.role is Role.READER
                            and e.row.zone == self.settings.zone), key=lambda e: rank(e, shared))
-            self.homes[shared] = near[:math.ceil(HOME_PART * len(near))]
+            self.homes[shared] = near[:min(MOST_HOMES, math.ceil(HOME_PART * len(near)))]
         return self.homes[shared] if shared else []
 
     def _known(self, engine: Engine, seq: Sequence) -> int:
