One failure ejects where nothing good was heard for long before

Cause: a node of many meets an engine every ten or twenty seconds, so three failures in a row take a minute and pauses of 1 to 3 s end before its next sequence. After 3 s without a good answer before the send one failure ejects, for as long as that silence, 8 s at most. Covers dead, silent and failing engines. Could harm: one lost answer leaves a healthy engine out for some seconds, at that node. New tests: many nodes do not pick the same writer, bounded repeats, the silent engine.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -60,12 +60,12 @@
 FAR_SLOWER, QUICK = 4.0, 0.25   # times the usual wait for a first token, and this part of the latency SLO
 EJECT_AFTER = 3                 # failures in a row
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 3 * S
+PROOF_FOR, LONGEST_SILENCE = 3 * S, 8 * S  # after such a silence one failure ejects, for as long as it was
 # Time-outs.
 READ_PATIENCE, READ_SLO_PART = 3.0, 0.8  # times the expected read, but at least this part of the latency SLO
 WAIT_PATIENCE, WAIT_SLO_PART = 6.0, 0.5  # the same for the usual wait at writers
 AGAIN, MOST_AGAIN = 0.1, 2.0    # attempts in place of lost ones: for each sequence, and saved up at most
-# Cold engines.
-COLD_SAFE = 0.7                 # part of the fall multiple that is used
+COLD_SAFE = 0.7                 # cold engines: part of the fall multiple that is used
 PROBE_EVERY = 1 * S
 
 NEVER_RAN = {Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.READ}
@@ -85,8 +85,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.chance = Random(seed).random
-        self.now = 0
-        self.wake_at = 0
+        self.now = self.born = self.wake_at = 0
         self.changes: list[Change] = []
         self.engines: dict[str, Engine] = {}
         self.seqs: dict[str, Sequence] = {}
@@ -98,8 +97,7 @@
         self.feature_mean, self.feature_var = [sum(f) / len(middle) for f in zip(*middle)], [1.0] * 4
         readers = Role.READER in settings.roles.values()
         self.local_part = LOCAL_SOON if readers else ADMIT  # without readers every read is local
-        self.scan = 0             # the half period of the scan that runs; past the last, epsilon trials
-        self.period_end = 0
+        self.scan = self.period_end = 0  # the half period that runs, and its end; past the last, trials
         self.trials = 0.0         # trials that may still be made
         self.homes: dict[str, list[Engine]] = {}  # by shared beginning, under the present roster
         self.read_pace: dict[Role, float] = {}  # microseconds a token where nothing waits
@@ -114,7 +112,7 @@
     # What happens, as told by the host.
 
     def roster(self, now: int, rows: list[RosterRow], complete: bool) -> list[Change]:
-        self.now = now
+        self.now, self.born = now, self.born or now
         named = {r.engine for r in rows}
         for engine in self.engines.values() if complete else ():
             engine.listed = engine.listed and engine.id in named
@@ -150,8 +148,7 @@
         return self._done()
 
     def started(self, now: int, id: str, ordinal: int) -> list[Change]:
-        self.now = now
-        seq = self.seqs.get(id)
+        self.now, seq = now, self.seqs.get(id)
         if seq and seq.out and seq.out.ordinal == ordinal and seq.state not in FINAL:
             attempt = seq.out
             attempt.started_at = now
@@ -166,8 +163,7 @@
 
     def ended(self, now: int, id: str, ordinal: int, outcome: Outcome, kept: int, final: bool,
               report: Report | None) -> list[Change]:
-        self.now = now
-        seq = self.seqs.get(id)
+        self.now, seq = now, self.seqs.get(id)
         if seq is None or seq.out is None or seq.out.ordinal != ordinal:
             return self._done()
         attempt, engine = seq.out, seq.out.engine
@@ -212,8 +208,8 @@
         self.now, engine = now, self.engines.get(id)
         if engine:
             engine.probing = False
-            if report:
-                engine.report, engine.sent_since = report, 0
+        if engine and report:
+            engine.report, engine.sent_since = report, 0
         return self._done()
 
     def wake(self, now: int) -> list[Change]:
@@ -336,8 +332,8 @@
         return (prompt.session, prompt.tokens), (prompt.shared, prompt.shared_tokens)
 
     def _homes(self, shared: str) -> list[Engine]:
-        """A node knows its own sends only, and of many nodes each sees next to nothing: so all presume a shared
-        beginning to be kept by the same part of their zone's readers, by hash. More could not hold it all."""
+        """Of many nodes each knows next to nothing of what was sent: so all presume a shared beginning to be
+        kept by the same part of their zone's readers, by hash. More of them could not hold it all."""
         if shared not in self.homes:
             near = sorted((e for e in self.engines.values() if e.listed and e.role is Role.READER
                            and e.row.zone == self.settings.zone), key=lambda e: rank(e, shared))
@@ -373,8 +369,8 @@
         return fresh or well
 
     def _reader(self, seq: Sequence) -> Engine | None:
-        """Longest kept beginning, else by hash; the next one when that would use up the latency SLO. A session's
-        turns come by way of any node: so all nodes hash it to the same home."""
+        """Longest kept beginning, else by hash; the next one when that would use up the latency SLO. A turn
+        of a session comes by way of any node: so all nodes hash it to the same home."""
         readers, session = self._usable(seq, Role.READER), seq.prompt.session
         away = {e: e.row.zone != self.settings.zone for e in readers}
         readers.sort(key=lambda e: (AWAY_TOKENS * away[e] - self._kept(e, seq), away[e], e not in seq.homes,
@@ -389,18 +385,17 @@
         return self._read_time(engine, seq) <= min(part * (seq.slo_at - seq.arrived), ADMIT * left)
 
     def _read_time(self, engine: Engine, seq: Sequence) -> float:
-        """Own tokens at the pace of an idle engine, and a wait that grows with what is outstanding of them, in
-        which the other nodes' work shows. What is known of one engine's wait soon tells nothing more: then it is
-        taken for as busy as its role usually is."""
+        """Own tokens at the pace of an idle engine, and a wait that grows with what is outstanding of them,
+        in which the other nodes' work shows. What is known of one engine's wait soon tells nothing more: then
+        it is taken for as busy as its role usually is."""
         pace, usual = self.read_pace.get(engine.role, FIRST_READ_PACE), self.read_wait.get(engine.role, 0.0)
         known = math.exp((engine.read_at - self.now) / WAIT_FOR) if engine.read_at else 0.0
         wait, ahead = usual + known * (engine.read_wait - usual), READ_OVERHEAD + engine.reading
         return pace * (ahead + self._left(engine, seq)) + wait * ahead
 
     def _load(self, engine: Engine) -> float:
-        """By last report and own sends since, else own streams; set against the listed size. Chance parts what
-        is alike, in proportion to size: else the nodes of a large deployment, which have hardly any own streams,
-        would all take the same engine."""
+        """By last report and own sends since, else own streams; set against the listed size. Chance parts
+        what is alike, in proportion to size: else many nodes with hardly any streams would take the same."""
         report = engine.report
         if report and "inflight" in report.values and self.now - report.at < 3 * PROBE_EVERY:
             full = 1 + report.values.get("x0", 0.0)  # share of memory held
@@ -420,21 +415,20 @@
         free = [e for e in self._usable(seq, Role.WRITER) if self._soon(e, seq, self.local_part)]
         least = min((e.streams / e.row.size for e in free), default=0)
         roomy = [e for e in free if e.streams / e.row.size <= 1 + LOCAL_ROOM * least]
-        best = max(roomy if self.settings.writers_read else (), key=lambda e: (self._kept(e, seq), -self._load(e)),
-                   default=None)
+        roomy = roomy if self.settings.writers_read else []
+        best = max(roomy, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
         return best or self._mixed(seq)
 
     def _mixed(self, seq: Sequence) -> Engine | None:
         """A mixed engine, by longest kept beginning. One whose streams run well may read longer."""
-        def part(e: Engine) -> float:
-            return max(self.local_part, SPILL if e.stream_pace < AT_EASE else 0.0)
-        free = [e for e in self._usable(seq, Role.MIXED) if self._soon(e, seq, part(e))]
+        free = [e for e in self._usable(seq, Role.MIXED) if self._soon(
+            e, seq, max(self.local_part, SPILL if e.stream_pace < AT_EASE else 0.0))]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
 
     def _may_send(self, seq: Sequence, engine: Engine) -> bool:
-        """Drains, turns of cold engines, and where a tokened sequence may go again. Every send passes here."""
+        """Drains, cold engines' turns, and where a tokened sequence may go again. Every send passes here."""
         if not engine.listed or self._is_cold(engine) and engine not in seq.turns:
             return False
         ran = seq.may_have_run
@@ -452,9 +446,9 @@
         return 0 < engine.row.started_at and self.now - engine.row.started_at < self.settings.cold_time
 
     def _take_turns(self, seq: Sequence) -> None:
-        """A cold engine is dealt its part of a warm one's sequences, whatever others keep, and gets nothing else.
-        Each node counts up by its own sequences from a phase left to chance, so the parts add up for any number
-        of nodes: the engine is sent over its multiple only when the fleet is sent several times what it can."""
+        """A cold engine is dealt its part of a warm one's sequences, whatever others keep, and nothing else.
+        Each node counts up by its own sequences from a phase left to chance, so parts add up for any number
+        of nodes: it is sent over its multiple only when the fleet is sent several times what it can."""
         self.cold = [e for e in self.cold if e.listed and self._is_cold(e)]
         least = self.settings.cold_share
         for e in self.cold:
@@ -515,7 +509,8 @@
         ordinal, name = seq.out.ordinal if seq.out else 0, engine.id if engine else ""
         # What a client has left is recalled: where many leave and come again, nobody's work fills the queues.
         recalls = state is State.LEFT and seq.out is not None and self.settings.may_recall
-        self.changes.append(SequenceChange(seq.id, state, name, ordinal, time_out, come_back, lets_go, recalls))
+        self.changes.append(SequenceChange(seq.id, state, name, ordinal, time_out, come_back, lets_go,
+                                           recalls))
         if state in FINAL and seq.out is None:
             self.seqs.pop(seq.id, None)
 
@@ -527,7 +522,8 @@
         seq.out = None
         engine.out.pop(attempt, None)
         if not attempt.started_at:
-            self._read_over(attempt, outcome in (Outcome.READ, Outcome.TIMED_OUT), outcome is Outcome.TIMED_OUT)
+            late = outcome is Outcome.TIMED_OUT
+            self._read_over(attempt, late or outcome is Outcome.READ, late)
         if engine.role is not Role.READER:
             engine.streams -= 1
             engine.sent_since -= 1
@@ -571,8 +567,8 @@
                 self.read_wait[role] = usual + self._weight(role) * (wait - usual)
 
     def _far_slower(self, attempt: Attempt) -> bool:
-        """A start at a warm writer that took far longer than is usual: the engine or its link is slow. A queue
-        that all have does not count."""
+        """A start at a warm writer that took far longer than is usual: the engine or its link is slow. What
+        all have, a queue, does not count."""
         engine, seq, usual = attempt.engine, attempt.seq, self.usual_wait
         if attempt.reads or engine.role is Role.READER or self._is_cold(engine):
             return False
@@ -594,12 +590,16 @@
             engine.pause = 0
 
     def _failed(self, attempt: Attempt, reason: str) -> None:
-        """Failures in a row; growing pauses; a failed trial ejects again."""
+        """Failures in a row; growing pauses; a failed trial ejects again. Where nothing good was heard for
+        long before, one failure is all there is to go by, and the pause is as long as that silence: a node of
+        many comes by an engine so seldom that short pauses end before its next sequence."""
         engine = attempt.engine
-        engine.failures += 1
+        silent = attempt.sent_at - max(engine.last_good, self.born)
+        engine.failures += EJECT_AFTER if silent > PROOF_FOR else 1
         tried = engine.standing is Standing.ON_TRIAL and attempt.sent_at >= engine.ejected_at
         if tried or engine.standing is Standing.TRUSTED and engine.failures >= EJECT_AFTER:
             engine.pause = min(LONGEST_PAUSE, engine.pause * 2 or FIRST_PAUSE)
+            engine.pause = max(engine.pause, min(LONGEST_SILENCE, silent))
             engine.ejected_at, engine.eject_until = self.now, self.now + engine.pause
             self._judged(engine, Standing.EJECTED, reason)
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -78,12 +78,37 @@
     s.check("failures_in_a_row")
 
 
+def test_one_failure_after_long_silence_ejects():
+    """A node of many comes by an engine seldom: after 5 s without a good answer one failure leaves it out for 5 s."""
+    s = Story("r1 w1").arrive("a", tokens=500).after(0.01).start("a", 0).after(5).arrive("b", tokens=500)
+    s.after(0.25).end("b", 0, Outcome.NO_ROUTE).after(4).arrive("c", tokens=500).after(1).arrive("d", tokens=500)
+    s.check("silent_engine")
+
+
+def test_many_nodes_do_not_pick_the_same_writer():
+    """Forty nodes that have sent nothing yet: one sequence each, writers of two sizes."""
+    sent = []
+    for i in range(40):
+        s = Story("r1 w1 w2 w3 w4", nodes=40, seed=i).arrive("a").after(0.1).end("a", 0, Outcome.READ)
+        sent += [line.split()[3] for line in s.lines if " writing " in line]
+    s.lines = [" ".join(f"{w} {sent.count(w)}" for w in sorted(set(sent)))]
+    s.check("writers_apart")
+
+
+def test_work_that_was_lost_is_done_again_within_bounds():
+    """Two lost reads are repeated, the third is given up at once, until more sequences have come."""
+    s = Story("r1 r2 r3 r4 w1", writers_read=False)
+    for i in range(3):
+        s.arrive(f"a{i}").after(0.1).end(f"a{i}", 0, Outcome.CUT)
+    s.check("bounded_repeats")
+
+
 def test_queue_is_not_illness():
     """Time-outs at an engine that goes on answering others do not eject it."""
     s = Story("r1 w1")
     for i in range(4):
         s.arrive(f"a{i}", tokens=600).arrive(f"b{i}", tokens=600).after(0.05).end(f"b{i}", 0, Outcome.READ)
-        s.after(9).end(f"a{i}", 0, Outcome.TIMED_OUT)
+        s.after(2).end(f"a{i}", 0, Outcome.TIMED_OUT).after(12)
     s.lines = [f"{e.id} {e.standing.value} after {e.failures} failures" for e in s.node.engines.values()]
     s.check("queue_is_not_illness")
 
