--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -57,7 +57,7 @@
 LESS_ROOM = 0.6                 # of that, for what is beyond a customer's share
 COME_BACK = 0.25                # part of the longest time clients heed: the SLO is not gone by then
 # Health.
-FAR_SLOWER, QUICK = 4.0, 0.25   # times the usual wait for a first token, and this part of the latency SLO
+FAR_SLOWER, QUICK = 2.5, 0.25   # times the usual wait for a first token, and this part of the latency SLO
 EJECT_AFTER = 3                 # failures in a row
 FIRST_PAUSE, LONGEST_PAUSE = 1 * S, 3 * S
 PROOF_FOR, LONGEST_SILENCE = 3 * S, 8 * S  # after such a silence one failure ejects, for as long as it was
@@ -452,8 +452,8 @@
         self.cold = [e for e in self.cold if e.listed and self._is_cold(e)]
         least = self.settings.cold_share
         for e in self.cold:
-            grown = (self.now - e.row.started_at) / self.settings.cold_time
-            part = least + grown * max(0.0, COLD_SAFE * self.settings.fall_multiple - 1) * least
+            safe = max(1.0, COLD_SAFE * self.settings.fall_multiple) * least  # even if it has not warmed up yet
+            part = min(safe, least + (self.now - e.row.started_at) / self.settings.cold_time)
             e.turn += part * e.row.size / self.sizes[e.role is Role.READER]
             if e.turn >= 1:
                 e.turn -= 1
