Mixed engines whose streams run slower than expected read less

What one may read now shrinks with the third power of stream time over expected, from 1 on. Covers memory that runs out and slow engines. Could harm: reads are turned away where long answers in a row look like slow streams. Also: the table of homes is bounded, for a node that runs for long.

--- a/aniserudder/rules.py
+++ b/aniserudder/rules.py
@@ -26,16 +26,14 @@
 CENTROID_STEP = 0.01            # how far a centroid moves towards each member
 PERIOD = 5 * S                  # length of each half of a scan
 EPSILON, MOST_TRIALS = 0.05, 3.0  # trials: at most this share of the sequences, and so many saved up
-MIN_SAMPLES = 8                 # of each path before a bit may flip
-FLIP_MARGIN = 0.1               # by which the other path must be better
+MIN_SAMPLES, FLIP_MARGIN = 8, 0.1  # before a bit may flip: of each path; by which the other must be better
 SHARED_MISS = 0.5               # both paths below this share: the slowness is shared, nothing is learned
 AGEING = 0.9                    # evidence kept from one period to the next
 STREAM_SLACK = 1.5              # expected outputs are rough
 SLOW = 5.0                      # times a type's best mean stream time: the pace is missed (without a hint)
-STREAM_STEP, PACE_STEP = 0.05, 0.1
+STREAM_STEP, PACE_STEP = 0.05, 0.1  # weight of the newest in a mean stream time and in a stream pace
 # Kept beginnings.
-KEPT_FOR = 60 * S
-KEPT_MOST = 4000                # keys an engine
+KEPT_FOR, KEPT_MOST = 60 * S, 4000  # how long, and how many keys an engine
 LEAST_BELIEVED = 200            # below this a shorter find tells nothing
 FORGOT = 0.5                    # found less than this part of what was believed: the engine forgot
 # Picking engines.
@@ -337,6 +335,8 @@
         if shared not in self.homes:
             near = sorted((e for e in self.engines.values() if e.listed and e.role is Role.READER
                            and e.row.zone == self.settings.zone), key=lambda e: rank(e, shared))
+            while len(self.homes) >= KEPT_MOST:
+                del self.homes[next(iter(self.homes))]
             self.homes[shared] = near[:min(MOST_HOMES, math.ceil(HOME_PART * len(near)))]
         return self.homes[shared] if shared else []
 
@@ -420,9 +420,9 @@
         return best or self._mixed(seq)
 
     def _mixed(self, seq: Sequence) -> Engine | None:
-        """A mixed engine, by longest kept beginning. One whose streams run well may read longer."""
+        """A mixed engine, by longest kept beginning. The slower its streams run, the less it may read."""
         free = [e for e in self._usable(seq, Role.MIXED) if self._soon(
-            e, seq, max(self.local_part, SPILL if e.stream_pace < AT_EASE else 0.0))]
+            e, seq, max(self.local_part, SPILL if e.stream_pace < AT_EASE else 0) / max(1, e.stream_pace) ** 3)]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
@@ -452,7 +452,7 @@
         self.cold = [e for e in self.cold if e.listed and self._is_cold(e)]
         least = self.settings.cold_share
         for e in self.cold:
-            safe = max(1.0, COLD_SAFE * self.settings.fall_multiple) * least  # even if it has not warmed up yet
+            safe = max(1.0, COLD_SAFE * self.settings.fall_multiple) * least  # even if not warmed up yet
             part = min(safe, least + (self.now - e.row.started_at) / self.settings.cold_time)
             e.turn += part * e.row.size / self.sizes[e.role is Role.READER]
             if e.turn >= 1:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -78,6 +78,14 @@
     s.check("failures_in_a_row")
 
 
+def test_mixed_engines_with_slow_streams_read_less():
+    """Streams at one and a half times the expected: a remainder that was read before is not; a short one still is."""
+    for pace in (0.9, 1.5):
+        s = Story("m1")
+        s.node.engines["m1"].stream_pace = pace
+        s.arrive("a", tokens=2500).arrive("b", tokens=300).check(f"mixed_slow_{pace}")
+
+
 def test_one_failure_after_long_silence_ejects():
     """A node of many comes by an engine seldom: after 5 s without a good answer one failure leaves it out for 5 s."""
     s = Story("r1 w1").arrive("a", tokens=500).after(0.01).start("a", 0).after(5).arrive("b", tokens=500)
