The decision module moves into aniserudder/decisions, unchanged

Need: the running node gets rooms of its own, and the module has to be importable by it and by the simulator's adapter alike.

No line of the module changed.

--- a/aniserudder/simhost.py
+++ b/aniserudder/simhost.py
@@ -10,9 +10,9 @@
 import traceback
 from typing import Any, TextIO
 
-from .interface import (Availability, Effect, EngineChange, Outcome, Prompt, Report, Role, RosterRow,
+from .decisions.interface import (Availability, Effect, EngineChange, Outcome, Prompt, Report, Role, RosterRow,
                         SequenceChange, Settings, Standing, State, TypeSettings)
-from .rules import Node
+from .decisions.rules import Node
 
 ROLES = {"read": Role.READER, "write": Role.WRITER, "both": Role.MIXED}
 EFFECTS = {"pure": Effect.REPEATABLE, "token": Effect.TOKENED, "side_effect": Effect.ONCE_ONLY}
--- a/tests/story.py
+++ b/tests/story.py
@@ -2,9 +2,9 @@
 import os
 from pathlib import Path
 
-from aniserudder.interface import (Availability, Effect, Outcome, Prompt, Report, Role, RosterRow, SequenceChange,
+from aniserudder.decisions.interface import (Availability, Effect, Outcome, Prompt, Report, Role, RosterRow, SequenceChange,
                                    Settings, TypeSettings)
-from aniserudder.rules import Node
+from aniserudder.decisions.rules import Node
 
 TRACES = Path(__file__).parent / "traces"
 MS, S = 1_000, 1_000_000
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,5 +1,5 @@
 """Decision traces, each compared with tests/traces/NAME.txt, which people read."""
-from aniserudder.interface import Availability, Outcome, Report, Role
+from aniserudder.decisions.interface import Availability, Outcome, Report, Role
 from story import S, Story
 
 
