--- /dev/null
+++ b/aniserudder/__main__.py
@@ -0,0 +1,4 @@
+"""``python -m aniserudder``."""
+from .cli import main
+
+main()
--- /dev/null
+++ b/aniserudder/core/ports.py
@@ -0,0 +1,87 @@
+"""The narrow ports between the library and whatever carries its effects out.
+
+``Answer`` is what the library asks of the client's side, ``Engines`` what it asks of the engines' side. Both are
+met by sockets in the daemon and by plain objects in tests. Nothing in here decides or waits.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from ..decisions.interface import Outcome, Prompt, Report
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    """What a client asked, as the engines need it.
+
+    ``body`` holds the engine's part of the request (messages, limits), ``whole`` says that the client reads
+    nothing before the answer is complete, ``token`` marks repeats of a tokened sequence.
+    """
+    prompt: Prompt
+    body: dict[str, Any]
+    whole: bool = False
+    token: str = ""
+    model: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Usage:
+    """Tokens as counted by an engine; ``kept`` of the ``read`` prompt tokens were found there."""
+    read: int = 0
+    kept: int = 0
+    written: int = 0
+
+
+class Answer(Protocol):
+    """The client's side of one sequence. The library calls exactly one of the last three, once."""
+
+    def text(self, piece: str) -> None:
+        """A piece of the answer, in order."""
+
+    def generated(self, reason: str, usage: Usage) -> None:
+        """Final: the answer is complete; ``reason`` is the engine's reason for stopping."""
+
+    def rejected(self, come_back: int, reason: str) -> None:
+        """Final: nothing has had an effect, another try is harmless. ``come_back`` in microseconds, 0: no advice."""
+
+    def aborted(self, reason: str) -> None:
+        """Final: it failed, and whether it had an effect is not promised."""
+
+
+class Attempt(Protocol):
+    """One schedule attempt as the engines' side sees it, and how it tells what became of it.
+
+    ``started``, ``text`` and ``ended`` may be called at any time after ``Engines.send`` was entered; after
+    ``ended`` nothing more is told.
+    """
+    seq_id: str
+    ordinal: int
+    engine: str
+    reads: bool              # at a reader: one token at most, the read state stays there
+    request: Request
+    state: dict[str, Any] | None  # transfer parameters of the state to fetch
+    time_out: int            # microseconds, told to the engine; the library itself keeps the time
+
+    def text(self, piece: str) -> None:
+        """A piece of the answer; the first one is the start of the stream."""
+
+    def ended(self, outcome: Outcome, usage: Usage, state: dict[str, Any] | None = None, reason: str = "",
+              report: dict[str, float] | None = None) -> None:
+        """How it ended; ``state`` are the transfer parameters that a reader returned."""
+
+
+class Engines(Protocol):
+    """The engines' side."""
+
+    def send(self, attempt: Attempt) -> None:
+        """Sends a schedule attempt."""
+
+    def call_off(self, attempt: Attempt) -> None:
+        """Stops waiting for it. No ``ended`` follows. What an interrupted read left behind is let go too."""
+
+    def let_go(self, seq_id: str, engine: str, ordinal: int, state: dict[str, Any] | None) -> None:
+        """Lets go of what the read of that ordinal left at an engine; ``state`` are its transfer parameters."""
+
+    def probe(self, engine: str, done: Any) -> None:
+        """Asks for a load report; ``done(good, values)`` is called once."""
--- /dev/null
+++ b/aniserudder/core/router.py
@@ -0,0 +1,372 @@
+"""One router: takes what happens, asks the decision node, carries out what it decides. No sockets in here.
+
+The ordinary way of a sequence: ``take`` → the node says READING → ``Engines.send`` to a reader → its state waits →
+WRITING → ``Engines.send`` to a writer → pieces of text → GENERATED. Every change of a sequence's state is the
+decision node's and goes through ``_carry_out``; the router itself adds only what no decision is needed for: keeping
+time-outs that were decided, and ending whole answers and sequences at the client's abandon time.
+"""
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+
+from ..decisions.interface import (Change, EngineChange, Outcome, Report, RosterRow, SequenceChange, Settings,
+                                   Standing, State)
+from ..decisions.rules import Node
+from .ports import Answer, Engines, Request, Usage
+from .record import (ArrivedCall, Call, EndedCall, LeftCall, NoRecord, ProbedCall, Recorder, RosterCall, StartedCall,
+                     WakeCall, make)
+
+FINAL = frozenset({State.GENERATED, State.REJECTED, State.ABORTED, State.LEFT, State.CLEARED})
+NOTHING = Usage()
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """Lives for one schedule attempt. Told by the engines' side what becomes of it (``ports.Attempt``)."""
+    router: Router
+    flight: Flight
+    ordinal: int
+    engine: str
+    reads: bool
+    state: dict[str, Any] | None
+    time_out: int
+    timer: IDelayedCall | None = None
+    started: bool = False
+    over: bool = False
+
+    @property
+    def seq_id(self) -> str:
+        return self.flight.id
+
+    @property
+    def request(self) -> Request:
+        return self.flight.request
+
+    def text(self, piece: str) -> None:
+        if not self.over:
+            self.router.tell(lambda: self.router._text(self, piece))
+
+    def ended(self, outcome: Outcome, usage: Usage = NOTHING, state: dict[str, Any] | None = None, reason: str = "",
+              report: dict[str, float] | None = None) -> None:
+        if not self.over:
+            self.router.tell(lambda: self.router._ended(self, outcome, usage, state, reason, report))
+
+
+@dataclass(slots=True, frozen=True)
+class Held:
+    """A read state that waits at a reader: whose read it was, and what names it there."""
+    engine: str
+    ordinal: int
+    params: dict[str, Any] | None
+
+
+@dataclass(slots=True, eq=False)
+class Flight:
+    """Lives from a sequence's arrival until it is answered and nothing of it is out or held."""
+    id: str
+    request: Request
+    answer: Answer
+    abandon_at: int
+    state: State = State.NEW
+    out: Attempt | None = None
+    held: Held | None = None                               # the state that the next writer fetches
+    read: list[Held] = field(default_factory=list)         # all that was read and may still be held
+    answered: bool = False
+    usage: Usage = NOTHING
+    stop_reason: str = ""
+    why: str = ""                                          # the last failure, for the log and the client
+    timer: IDelayedCall | None = None
+
+
+@dataclass(slots=True)
+class Counts:
+    """What the router has counted since it started."""
+    taken: int = 0
+    generated: int = 0
+    rejected: int = 0
+    aborted: int = 0
+    left: int = 0
+    attempts: int = 0
+    let_go: int = 0
+    failures: int = 0  # calls in which the decision module raised
+
+
+class Router:
+    """One instance. Shares nothing with any other in the process.
+
+    Args:
+        settings: what the decision module is handed.
+        seed: of the node's chance.
+        engines: carries out sends, calls off and lets go.
+        clock: Twisted's ``IReactorTime``; the only clock.
+        recorder: where calls and their results are written.
+        log: called as ``log(event, **fields)`` with fields of the log schema.
+        name: of this node, written into the record.
+    """
+
+    def __init__(self, settings: Settings, seed: int, engines: Engines, clock: IReactorTime,
+                 recorder: Recorder | None = None, log: Callable[..., None] | None = None, name: str = "") -> None:
+        self.node = Node(settings, seed)
+        self.engines, self.clock = engines, clock
+        self.recorder, self.log = recorder or NoRecord(), log or (lambda event, **fields: None)
+        self.flights: dict[str, Flight] = {}
+        self.counts = Counts()
+        self.fields = settings.report_fields
+        self.on_quiet: Callable[[], None] | None = None  # called when the last sequence is gone
+        self._events: deque[Callable[[], None]] = deque()
+        self._busy = False
+        self._wake: IDelayedCall | None = None
+        self._wake_at = 0
+        self.recorded_as = name
+        self.recorder.head(settings, seed, name)
+
+    # What happens.
+
+    def now(self) -> int:
+        """Whole microseconds of the router's clock."""
+        return round(self.clock.seconds() * 1_000_000)
+
+    def take(self, id: str, request: Request, answer: Answer) -> None:
+        """Takes a sequence: from here on it owes one final answer, before its abandon time."""
+        def taken() -> None:
+            now = self.now()
+            flight = self.flights[id] = Flight(id, request, answer, now + request.prompt.time_left)
+            self.counts.taken += 1
+            flight.timer = self._later(request.prompt.time_left, lambda: self._time_up(flight))
+            self._call(ArrivedCall(now, id, request.prompt), flight)
+        self.tell(taken)
+
+    def client_left(self, id: str) -> None:
+        """The client went before its final answer."""
+        def left() -> None:
+            flight = self.flights.get(id)
+            if flight and not flight.answered:
+                flight.answered = True
+                self.counts.left += 1
+                self._call(LeftCall(self.now(), id), flight)
+        self.tell(left)
+
+    def roster(self, rows: list[RosterRow], complete: bool) -> None:
+        """News of the engine list; ``started_at`` of the rows is on the router's clock."""
+        self.tell(lambda: self._call(RosterCall(self.now(), rows, complete)))
+
+    def give_up_all(self, reason: str) -> None:
+        """Ends every sequence still here, as if their engines had been cut off: the node is about to go."""
+        def end() -> None:
+            for flight in list(self.flights.values()):
+                if flight.out:
+                    attempt = flight.out
+                    self.engines.call_off(attempt)
+                    self._ended(attempt, Outcome.RECALLED, NOTHING, None, reason, None, final=True)
+                if flight.id in self.flights and not flight.answered:
+                    self._force(flight, reason)
+        self.tell(end)
+
+    def tell(self, event: Callable[[], None]) -> None:
+        """Runs events one after the other: what carries out effects may call back at once."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._events.popleft()()
+        finally:
+            self._busy = False
+        if not self.flights and self.on_quiet:
+            quiet, self.on_quiet = self.on_quiet, None
+            quiet()
+
+    # What engines tell of schedule attempts.
+
+    def _text(self, attempt: Attempt, piece: str) -> None:
+        flight = attempt.flight
+        if attempt.over or flight.out is not attempt:
+            return
+        if not attempt.started:
+            attempt.started = True
+            self._cancel(attempt)
+            for other in flight.read:  # the writer has fetched its state; what is held besides nobody will take
+                if other is not flight.held:
+                    self._name(flight, other)
+            flight.held, flight.read = None, []
+            if not flight.request.whole:
+                self._cancel(flight)  # a started stream has no abandon time; a whole answer keeps its own
+            self._call(StartedCall(self.now(), flight.id, attempt.ordinal), flight)
+        if not flight.answered:
+            flight.answer.text(piece)
+
+    def _ended(self, attempt: Attempt, outcome: Outcome, usage: Usage, state: dict[str, Any] | None, reason: str,
+               report: dict[str, float] | None, final: bool = False) -> None:
+        flight = attempt.flight
+        if attempt.over:
+            return
+        attempt.over, flight.out = True, None
+        self._cancel(attempt)
+        now = self.now()
+        if outcome is Outcome.READ:
+            flight.held = Held(attempt.engine, attempt.ordinal, state)
+            flight.read.append(flight.held)
+        elif outcome is Outcome.NO_STATE:
+            flight.held = None
+        if outcome is Outcome.GENERATED:
+            flight.usage, flight.stop_reason = usage, reason
+        else:
+            flight.why = f"{outcome.value}{': ' + reason if reason else ''}"
+            level = "info" if outcome is Outcome.READ else "warning"
+            self.log("attempt ended", level=level, seq=flight.id, state=flight.state.value, engine=attempt.engine,
+                     ordinal=attempt.ordinal, reason=flight.why)
+        heard = Report(now, {f: report[f] for f in self.fields if f in report}) if report and self.fields else None
+        done = final or attempt.started or outcome is Outcome.GENERATED or flight.answered
+        self._call(EndedCall(now, flight.id, attempt.ordinal, outcome, usage.kept, done, heard), flight)
+        if flight.answered and flight.out is None:
+            self._forget(flight)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        if not attempt.over:
+            self.engines.call_off(attempt)
+            self._ended(attempt, Outcome.TIMED_OUT, NOTHING, None, f"nothing in {attempt.time_out // 1000} ms", None)
+
+    def _time_up(self, flight: Flight) -> None:
+        """The abandon time: whatever is out is over, and the final answer goes out now."""
+        def end() -> None:
+            if flight.answered:
+                return
+            if flight.out:
+                attempt = flight.out
+                self.engines.call_off(attempt)
+                self._ended(attempt, Outcome.TIMED_OUT, NOTHING, None, "the client's time is up", None)
+            if not flight.answered:
+                self._force(flight, "the client's time is up")
+        self.tell(end)
+
+    # The decision node.
+
+    def _call(self, call: Call, flight: Flight | None = None) -> None:
+        try:
+            changes = make(self.node, call)
+        except Exception as failure:  # a fault in the module must not cost the sequence its answer, nor the node
+            self.counts.failures += 1
+            self.node.changes.clear()
+            self.log("decision failed", level="error", seq=flight.id if flight else "",
+                     reason=f"{type(failure).__name__}: {failure}")
+            if flight and not flight.answered:
+                self._force(flight, "internal failure")
+            return
+        self.recorder.note(call, changes, self.node.wake_at)
+        for change in changes:
+            if isinstance(change, EngineChange):
+                self._engine_changed(change)
+            else:
+                self._carry_out(change)
+        self._plan_wake()
+
+    def _carry_out(self, change: SequenceChange) -> None:
+        """Every state change of a sequence, and what it asks for."""
+        flight = self.flights.get(change.seq)
+        if flight is None:
+            return
+        flight.state = change.state
+        if change.lets_go:
+            self._let_go(flight)
+        if change.recalls and flight.out:
+            self._recall(flight.out)
+        match change.state:
+            case State.READING | State.WRITING:
+                self._send(flight, change)
+            case State.GENERATED:
+                self._finish(flight, lambda a: a.generated(flight.stop_reason, flight.usage))
+            case State.REJECTED:
+                self._finish(flight, lambda a: a.rejected(change.come_back, flight.why or "no engine can take it"))
+            case State.ABORTED:
+                self._finish(flight, lambda a: a.aborted(flight.why or "no engine can take it"))
+        if change.state in FINAL:
+            self.log("sequence ended", level="info", seq=flight.id, state=change.state.value,
+                     engine=change.engine, ordinal=change.ordinal, reason=flight.why)
+            if flight.out is None:
+                self._forget(flight)
+
+    def _send(self, flight: Flight, change: SequenceChange) -> None:
+        reads = change.state is State.READING
+        held = flight.held.params if flight.held and not reads else None
+        attempt = flight.out = Attempt(self, flight, change.ordinal, change.engine, reads, held, change.time_out)
+        self.counts.attempts += 1
+        attempt.timer = self._later(change.time_out, lambda: self.tell(lambda: self._timed_out(attempt)))
+        self.log("attempt", level="debug", seq=flight.id, state=change.state.value, engine=change.engine,
+                 ordinal=change.ordinal, reason="")
+        self.engines.send(attempt)
+
+    def _recall(self, attempt: Attempt) -> None:
+        self.engines.call_off(attempt)
+        self.tell(lambda: self._ended(attempt, Outcome.RECALLED, NOTHING, None, "called off", None))
+
+    def _let_go(self, flight: Flight) -> None:
+        """At every reader where something may be held: 'no state' from a writer proves nothing of the reader."""
+        for held in flight.read:
+            self._name(flight, held)
+        flight.held = None
+
+    def _name(self, flight: Flight, held: Held) -> None:
+        self.counts.let_go += 1
+        self.engines.let_go(flight.id, held.engine, held.ordinal, held.params)
+
+    def _finish(self, flight: Flight, final: Callable[[Answer], None]) -> None:
+        """The one final answer. Whoever comes second is passed over."""
+        if flight.answered:
+            return
+        flight.answered = True
+        counter = {State.GENERATED: "generated", State.REJECTED: "rejected"}.get(flight.state, "aborted")
+        setattr(self.counts, counter, getattr(self.counts, counter) + 1)
+        final(flight.answer)
+
+    def _force(self, flight: Flight, reason: str) -> None:
+        """The node has no answer of its own for this sequence: it is aborted, and the node told that it left."""
+        flight.state, flight.why = State.ABORTED, reason
+        self._finish(flight, lambda a: a.aborted(reason))
+        self._let_go(flight)
+        self._call(LeftCall(self.now(), flight.id))
+        if flight.out is None:
+            self._forget(flight)
+
+    def _forget(self, flight: Flight) -> None:
+        self._cancel(flight)
+        self.flights.pop(flight.id, None)
+
+    def _engine_changed(self, change: EngineChange) -> None:
+        if change.probe:
+            self.engines.probe(change.engine, lambda good, values: self.tell(
+                lambda: self._probed(change.engine, good, values)))
+        if change.standing is not Standing.SAMPLED:
+            self.log("engine judged", level="warning", engine=change.engine, state=change.standing.value,
+                     reason=change.reason)
+
+    def _probed(self, engine: str, good: bool, values: dict[str, float] | None) -> None:
+        now = self.now()
+        report = Report(now, {f: values[f] for f in self.fields if f in values}) if good and values else None
+        self._call(ProbedCall(now, engine, good, report))
+
+    # Time.
+
+    def _plan_wake(self) -> None:
+        at = self.node.wake_at
+        if not at or self._wake and self._wake.active() and self._wake_at <= at:
+            return
+        if self._wake and self._wake.active():
+            self._wake.cancel()
+        self._wake_at = at
+        self._wake = self._later(max(0, at - self.now()),
+                                 lambda: self.tell(lambda: self._call(WakeCall(self.now()))))
+
+    def _later(self, after: int, what: Callable[[], None]) -> IDelayedCall:
+        return self.clock.callLater(max(0, after) / 1_000_000, what)
+
+    @staticmethod
+    def _cancel(timed: Attempt | Flight) -> None:
+        if timed.timer and timed.timer.active():
+            timed.timer.cancel()
+        timed.timer = None
--- /dev/null
+++ b/aniserudder/daemon/node.py
@@ -0,0 +1,109 @@
+"""One running node: the library with its sockets round it. Nothing is decided here and nothing is global."""
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IListeningPort, IReactorTCP
+
+from .. import logs
+from ..core import NoRecord, Record, Router
+from ..engines import EnginePool
+from ..messages import Messages
+from ..roster import follow
+from ..settings import NodeSettings
+
+RELEASE_WAIT = 2.0  # seconds that a stopping node waits for its last letting go to be delivered
+TAKEN_UP = 0.05     # seconds between looks at what is still on its way
+
+
+class RunningNode:
+    """Opens everything on ``start`` and closes it in order on ``stop``.
+
+    Args:
+        settings: of the node.
+        reactor: for sockets and time.
+        log: called as ``log(event, level=..., **fields)``; by default JSON lines on standard error.
+        boot: names this start in sequence ids.
+    """
+
+    def __init__(self, settings: NodeSettings, reactor: IReactorTCP, log: Callable[..., None] | None = None,
+                 boot: str = "") -> None:
+        self.settings, self.reactor = settings, reactor
+        self.log = log or logs.make(settings.node, settings.log_level)
+        seed = settings.seed if settings.seed is not None else int.from_bytes(os.urandom(6), "big")
+        self._record = None
+        if settings.record:
+            path = Path(settings.record)
+            path.parent.mkdir(parents=True, exist_ok=True)
+            # One file a start: a node killed leaves a torn line that nothing may be written behind.
+            number = next(n for n in range(1, 1_000_000) if not path.with_name(f"{path.name}.{n}").exists())
+            self._record = path.with_name(f"{path.name}.{number}").open("xb", buffering=1 << 16)
+        recorder = Record(self._record) if self._record else NoRecord()
+        self.pool = EnginePool(reactor, settings.limits, settings.rules, settings.node, settings.bind, self.log)
+        self.router = Router(settings.decisions_settings(), seed, self.pool, reactor, recorder, self.log, settings.node)
+        self.follower = follow(self.router, self.pool.locate, settings.roster, reactor, self.log)
+        self.messages = Messages(settings, self.router, reactor, self.log, boot)
+        self._port: IListeningPort | None = None
+        self._stopping: Deferred[None] | None = None
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where clients are taken."""
+        host = self._port.getHost()
+        return host.host, host.port
+
+    def start(self) -> None:
+        """Hears of the engines, then opens the listener.
+
+        Raises:
+            twisted.internet.error.CannotListenError: the address cannot be had.
+        """
+        listen = self.settings.messages.listen
+        self._port = self.reactor.listenTCP(listen.port, self.messages.factory, interface=listen.host, backlog=1024)
+        self.follower.start()
+        host, port = self.address
+        self.log("listening", level="info", reason=f"{host}:{port}")
+
+    def stop(self) -> Deferred[None]:
+        """Takes nothing new; answers what was taken; lets go of what is held; closes. Fires when all is done."""
+        if self._stopping is not None:
+            return self._stopping
+        done = self._stopping = Deferred()
+        self.log("stopping", level="info", reason=f"{len(self.router.flights)} sequences are here")
+        if self._port:
+            self._port.stopListening()
+        self.messages.stop()
+        # Started streams have no abandon time: they get as long as the settings say, then an honest end.
+        timer = self.reactor.callLater(self.settings.limits.stop_ms / 1000, self.router.give_up_all,
+                                       "the node is stopping")
+
+        def answered() -> None:
+            if timer.active():
+                timer.cancel()
+            self._deliver(self.reactor.seconds() + RELEASE_WAIT, done)
+
+        self.router.on_quiet = answered
+        self.router.tell(lambda: None)  # quiet already, perhaps
+        return done
+
+    def _deliver(self, until: float, done: Deferred[None]) -> None:
+        """Waits for the last releases and the last bytes to clients."""
+        if (self.pool.letting_go or self.messages.factory.connections) and self.reactor.seconds() < until:
+            self.reactor.callLater(TAKEN_UP, self._deliver, until, done)
+            return
+        self.follower.stop()
+        self.pool.close()
+        for connection in list(self.messages.factory.connections):
+            connection.abort()
+        self.close_record()
+        counts = self.router.counts
+        self.log("stopped", level="info", reason=f"{counts.taken} taken, {counts.generated} generated, "
+                 f"{counts.rejected} rejected, {counts.aborted} aborted, {counts.left} left")
+        done.callback(None)
+
+    def close_record(self) -> None:
+        if self._record and not self._record.closed:
+            self._record.close()
--- /dev/null
+++ b/aniserudder/engines/pool.py
@@ -0,0 +1,313 @@
+"""All engines of one node: where they are, the connections kept to them, and the exchanges that run.
+
+Meets ``core.ports.Engines``. What became of a schedule attempt is told apart by these conditions alone:
+
+=========== ==============================================================================================
+no route    no connection within the connect time: refused, unreachable or timed out; or no address is known
+not sent    a connection was there and went before a byte of the request was written to it
+full        503 or 429 with ``error.code`` full, or 503 draining
+no state    409 with ``error.code`` no_state
+error       any other status, an error event, an answer that breaks the protocol or is too long
+cut         the connection went after the request was written and before the answer was complete, or a started
+            stream was silent for the silence limit
+read        200 from a reader with transfer parameters
+generated   the writer's stream came to its closing event
+=========== ==============================================================================================
+
+Timed out and recalled are the library's own: it keeps the time and calls off.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
+from twisted.internet.interfaces import IDelayedCall, IReactorTCP
+from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+
+from ..core.ports import Attempt, Usage
+from ..decisions.interface import Outcome
+from ..settings.schema import Limits, Rules, micros
+from ..wire.client import At, ClientConnection
+from . import codec
+
+
+@dataclass(slots=True, eq=False)
+class Place:
+    """One engine's address and the idle connections to it."""
+    engine: str
+    host: str
+    port: int
+    idle: list[tuple[ClientConnection, float]] = field(default_factory=list)  # and since when
+
+
+@dataclass(slots=True)
+class PoolCounts:
+    """What the pool has counted since it started."""
+    connects: int = 0
+    connect_failures: int = 0
+    reused: int = 0
+    releases: int = 0
+    releases_lost: int = 0
+
+
+class Run:
+    """One schedule attempt on its connection; an ``Exchange``."""
+
+    __slots__ = ("pool", "attempt", "connection", "status", "stream", "collected", "over", "heard", "watch")
+
+    def __init__(self, pool: EnginePool, attempt: Attempt) -> None:
+        self.pool, self.attempt = pool, attempt
+        self.connection: ClientConnection | None = None
+        self.status, self.collected, self.over, self.heard = 0, b"", False, 0.0
+        self.stream: codec.Stream | None = None
+        self.watch: IDelayedCall | None = None
+
+    def head(self, status: int) -> None:
+        self.status = status
+        if status == 200 and not self.attempt.reads:
+            self.stream = codec.Stream(self.pool.limits.line_bytes)
+
+    def body(self, data: bytes) -> None:
+        if self.stream is None:
+            self.collected += data
+            if len(self.collected) > self.pool.limits.line_bytes:
+                self.finish(codec.Ended(Outcome.ERROR, reason="the answer is too long"), drop=True)
+            return
+        self.heard = self.pool.reactor.seconds()
+        for piece in self.stream.feed(data):
+            if self.over:
+                return
+            if self.watch is None:
+                self._watch(self.pool.limits.stream_silence_ms / 1000)
+            self.attempt.text(piece)
+        ended = self.stream.ended
+        if ended and not self.over and ended.outcome is not Outcome.GENERATED:
+            self.finish(ended, drop=True)
+
+    def complete(self) -> None:
+        if self.stream is not None:
+            self.finish(self.stream.close())
+        elif self.status == 200:
+            self.finish(codec.read(self.collected))
+        else:
+            self.finish(codec.refused(self.status, self.collected))
+
+    def lost(self, reason: str, malformed: bool) -> None:
+        if self.stream is not None and self.stream.ended:
+            return self.finish(self.stream.ended)  # all was said before the connection went
+        self.finish(codec.Ended(Outcome.ERROR if malformed else Outcome.CUT, reason=reason))
+
+    def finish(self, ended: codec.Ended, drop: bool = False) -> None:
+        if self.over:
+            return
+        self.close(drop)
+        if self.attempt.reads and ended.outcome in (Outcome.CUT, Outcome.ERROR):
+            self.pool.let_go(self.attempt.seq_id, self.attempt.engine, self.attempt.ordinal, None)
+        self.attempt.ended(ended.outcome, ended.usage, ended.state, ended.reason)
+
+    def close(self, drop: bool) -> None:
+        """Nothing more is told of this attempt."""
+        self.over = True
+        self.pool.runs.pop(self.attempt, None)
+        if self.watch and self.watch.active():
+            self.watch.cancel()
+        if drop and self.connection:
+            self.connection.drop()
+
+    def _watch(self, after: float) -> None:
+        self.watch = self.pool.reactor.callLater(after, self._silent)
+
+    def _silent(self) -> None:
+        left = self.heard + self.pool.limits.stream_silence_ms / 1000 - self.pool.reactor.seconds()
+        if left > 0.001:
+            return self._watch(left)
+        self.finish(codec.Ended(Outcome.CUT, reason="the stream fell silent"), drop=True)
+
+
+class Collect:
+    """A small exchange whose whole answer is wanted."""
+
+    __slots__ = ("done", "status", "data", "most")
+
+    def __init__(self, done: Callable[[int, bytes], None], most: int) -> None:
+        self.done, self.status, self.data, self.most = done, 0, b"", most
+
+    def head(self, status: int) -> None:
+        self.status = status
+
+    def body(self, data: bytes) -> None:
+        self.data = (self.data + data)[:self.most]
+
+    def complete(self) -> None:
+        self.done(self.status, self.data)
+
+    def lost(self, reason: str, malformed: bool) -> None:
+        self.done(0, b"")
+
+
+class EnginePool:
+    """Connections to engines, kept while idle for a bounded time.
+
+    Args:
+        reactor: Twisted's reactor, for sockets and time.
+        limits, rules: of the settings.
+        node: the name that engines are told.
+        bind: local address of the connections; empty: any.
+    """
+
+    def __init__(self, reactor: IReactorTCP, limits: Limits, rules: Rules, node: str, bind: str = "",
+                 log: Callable[..., None] | None = None) -> None:
+        self.reactor, self.limits, self.rules, self.node, self.bind = reactor, limits, rules, node, bind
+        self.log = log or (lambda event, **fields: None)
+        self.places: dict[str, Place] = {}
+        self.runs: dict[Attempt, Run] = {}
+        self.counts = PoolCounts()
+        self.letting_go = 0  # releases on their way
+        self.closed = False
+
+    def locate(self, engine: str, address: str) -> None:
+        """Says where an engine listens, as host:port. An engine that moved gets new connections."""
+        host, _, port = address.rpartition(":")
+        place = self.places.get(engine)
+        if place is None or (place.host, place.port) != (host, int(port)):
+            if place:
+                self._shut(place)
+            self.places[engine] = Place(engine, host.strip("[]"), int(port))
+
+    # What the library asks for.
+
+    def send(self, attempt: Attempt) -> None:
+        run = self.runs[attempt] = Run(self, attempt)
+        headers, body = codec.request(attempt, self.node)
+
+        def ready(connection: ClientConnection) -> None:
+            if run.over:  # called off while the connection was made
+                return self._free(connection)
+            run.connection = connection
+            if not connection.ask("POST", codec.GENERATE, headers, body, run):
+                run.finish(codec.Ended(Outcome.NOT_SENT, reason="the connection went before the request"))
+
+        def failed(reason: str) -> None:
+            run.finish(codec.Ended(Outcome.NO_ROUTE, reason=reason))
+
+        self._connected(attempt.engine, ready, failed)
+
+    def call_off(self, attempt: Attempt) -> None:
+        run = self.runs.get(attempt)
+        if run:
+            run.close(drop=True)
+            if attempt.reads and run.connection:  # the engine may have read before it saw the end
+                self.let_go(attempt.seq_id, attempt.engine, attempt.ordinal, None)
+
+    def let_go(self, seq_id: str, engine: str, ordinal: int, state: dict[str, Any] | None) -> None:
+        """Delivers a release, tried a few times within the time that rules allow."""
+        self.letting_go += 1
+        self.counts.releases += 1
+        self._release(engine, codec.release(seq_id, ordinal, state), seq_id, self.limits.let_go_tries)
+
+    def probe(self, engine: str, done: Callable[[bool, dict[str, float] | None], None]) -> None:
+        def answered(status: int, body: bytes) -> None:
+            values = codec.report(status, body)
+            done(values is not None, values)
+        self._ask(engine, "GET", codec.STATUS, b"", answered)
+
+    def close(self) -> None:
+        """Closes what is idle and takes no connection back."""
+        self.closed = True
+        for place in self.places.values():
+            self._shut(place)
+
+    # Connections.
+
+    def _release(self, engine: str, body: bytes, seq_id: str, tries: int) -> None:
+        def answered(status: int, _: bytes) -> None:
+            if status in (200, 204, 404):
+                self.letting_go -= 1
+            elif tries > 1:
+                pause = self.rules.let_go_ms / 1000 / self.limits.let_go_tries
+                self.reactor.callLater(pause, self._release, engine, body, seq_id, tries - 1)
+            else:
+                self.letting_go -= 1
+                self.counts.releases_lost += 1
+                self.log("letting go was not delivered", level="warning", seq=seq_id, engine=engine)
+        self._ask(engine, "POST", codec.RELEASE, body, answered)
+
+    def _ask(self, engine: str, method: str, path: str, body: bytes, done: Callable[[int, bytes], None]) -> None:
+        """One small exchange, bounded in time by the connect limit. Status 0: it did not come off."""
+        state: dict[str, Any] = {"over": False, "connection": None}
+
+        def finish(status: int, data: bytes) -> None:
+            if not state["over"]:
+                state["over"] = True
+                timer.active() and timer.cancel()
+                done(status, data)
+
+        def late() -> None:
+            if state["connection"]:
+                state["connection"].drop()
+            finish(0, b"")
+
+        timer = self.reactor.callLater(2 * self.limits.connect_ms / 1000, late)
+
+        def ready(connection: ClientConnection) -> None:
+            if state["over"]:
+                return self._free(connection)
+            state["connection"] = connection
+            if not connection.ask(method, path, [], body, Collect(finish, self.limits.line_bytes)):
+                finish(0, b"")
+
+        self._connected(engine, ready, lambda reason: finish(0, b""))
+
+    def _connected(self, engine: str, ready: Callable[[ClientConnection], None],
+                   failed: Callable[[str], None]) -> None:
+        place = self.places.get(engine)
+        if place is None:
+            return failed("no address is known")
+        while place.idle:
+            connection, since = place.idle.pop()
+            fresh = self.reactor.seconds() - since < self.limits.engine_idle_ms / 1000
+            if fresh and connection.state is At.IDLE and connection.transport.connected:
+                self.counts.reused += 1
+                return ready(connection)
+            connection.drop()
+        self.counts.connects += 1
+        kind = TCP4ClientEndpoint if place.host.replace(".", "").isdigit() else HostnameEndpoint
+        endpoint = kind(self.reactor, place.host, place.port, timeout=self.limits.connect_ms / 1000,
+                        bindAddress=(self.bind, 0) if self.bind else None)
+        factory = Factory.forProtocol(lambda: ClientConnection(f"{place.host}:{place.port}", self._free, self._gone))
+        factory.noisy = False
+
+        def made(connection: ClientConnection) -> None:
+            connection.place = place
+            ready(connection)
+
+        def not_made(failure: Failure) -> None:
+            self.counts.connect_failures += 1
+            failed(f"no connection: {failure.value.__class__.__name__}")
+
+        endpoint.connect(factory).addCallbacks(made, not_made)
+
+    def _free(self, connection: ClientConnection) -> None:
+        place: Place = connection.place
+        if (self.closed or self.places.get(place.engine) is not place
+                or len(place.idle) >= self.limits.engine_idle_most):
+            return connection.drop()
+        now = self.reactor.seconds()
+        oldest = now - self.limits.engine_idle_ms / 1000
+        while place.idle and place.idle[0][1] < oldest:
+            place.idle.pop(0)[0].drop()
+        place.idle.append((connection, now))
+
+    def _gone(self, connection: ClientConnection) -> None:
+        place: Place | None = connection.place
+        if place:
+            place.idle = [(c, since) for c, since in place.idle if c is not connection]
+
+    @staticmethod
+    def _shut(place: Place) -> None:
+        for connection, _ in place.idle:
+            connection.drop()
+        place.idle.clear()
--- /dev/null
+++ b/aniserudder/messages/__init__.py
@@ -0,0 +1,4 @@
+"""The clients' side: vocabulary.py names the events, codec.py their bodies, mapping.py what the module is told."""
+from .server import Messages
+
+__all__ = ["Messages"]
--- /dev/null
+++ b/aniserudder/messages/codec.py
@@ -0,0 +1,144 @@
+"""Bodies of the messages API, in and out. No sockets in here.
+
+A request is ``POST /v1/messages`` with ``model``, ``max_tokens``, ``messages`` and, as one likes, ``system``,
+``stream``, ``temperature``, ``stop_sequences`` and ``metadata``. Fields that are unknown are passed over, as clients
+send more than one router reads; those that are known are checked.
+"""
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from ..core.ports import Usage
+from .vocabulary import Event, Vocabulary
+
+Text = Annotated[str, msgspec.Meta(max_length=4_000_000)]
+
+
+class BadRequest(Exception):
+    """A request that cannot be taken; the text is for the client."""
+
+
+class TextBlock(msgspec.Struct):
+    text: Text
+    type: Literal["text"] = "text"
+
+
+class Message(msgspec.Struct):
+    role: Literal["user", "assistant"]
+    content: Text | list[TextBlock]
+
+    def text(self) -> str:
+        return plain(self.content)
+
+
+class Metadata(msgspec.Struct):
+    """What a client may tell of a sequence; headers go before it, see mapping.py."""
+    user_id: str = ""
+    session_id: str = ""
+    traffic_type: str = ""
+    expected_output_tokens: Annotated[int, msgspec.Meta(ge=0, le=10_000_000)] = 0
+
+
+class MessagesRequest(msgspec.Struct):
+    model: Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
+    messages: Annotated[list[Message], msgspec.Meta(min_length=1, max_length=10_000)]
+    system: Text | list[TextBlock] = ""
+    stream: bool = False
+    temperature: Annotated[float, msgspec.Meta(ge=0, le=2)] | None = None
+    stop_sequences: list[str] = []
+    metadata: Metadata = msgspec.field(default_factory=Metadata)
+
+
+_decode = msgspec.json.Decoder(MessagesRequest).decode
+_encode = msgspec.json.Encoder().encode
+
+
+def plain(content: str | list[TextBlock]) -> str:
+    """Text of a content, its blocks joined."""
+    return content if isinstance(content, str) else "\n".join(b.text for b in content)
+
+
+def decode(body: bytes) -> MessagesRequest:
+    """Reads a request.
+
+    Raises:
+        BadRequest: with what is wrong, where.
+    """
+    try:
+        return _decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as wrong:
+        raise BadRequest(str(wrong)) from None
+
+
+def for_engines(asked: MessagesRequest) -> dict[str, Any]:
+    """The same request in the engines' form."""
+    system = plain(asked.system)
+    messages = [{"role": "system", "content": system}] if system else []
+    body: dict[str, Any] = {"model": asked.model, "max_tokens": asked.max_tokens,
+                            "messages": messages + [{"role": m.role, "content": m.text()} for m in asked.messages]}
+    if asked.temperature is not None:
+        body["temperature"] = asked.temperature
+    if asked.stop_sequences:
+        body["stop"] = asked.stop_sequences
+    return body
+
+
+STOPS = {"stop": "end_turn", "length": "max_tokens"}
+
+
+class Stream:
+    """Writes the events of one streamed answer."""
+
+    __slots__ = ("id", "model", "_words", "_text")
+
+    def __init__(self, id: str, model: str, words: Vocabulary) -> None:
+        self.id, self.model, self._words = id, model, words
+        name = words[Event.TEXT]
+        self._text = b"event: %s\ndata: " % name.encode(), _encode(name)
+
+    def _event(self, event: Event, **fields: Any) -> bytes:
+        name = self._words[event]
+        return b"event: " + name.encode() + b"\ndata: " + _encode({"type": name, **fields}) + b"\n\n"
+
+    def opened(self) -> bytes:
+        return self._event(Event.OPENED, message={
+            "id": self.id, "type": "message", "role": "assistant", "model": self.model, "content": [],
+            "stop_reason": None, "usage": {"input_tokens": 0, "output_tokens": 0}},
+        ) + self._event(Event.BLOCK_OPENED, index=0, content_block={"type": "text", "text": ""})
+
+    def text(self, piece: str) -> bytes:
+        head, name = self._text
+        return (head + b'{"type":' + name + b',"index":0,"delta":{"type":"text_delta","text":' + _encode(piece)
+                + b"}}\n\n")
+
+    def generated(self, reason: str, usage: Usage) -> bytes:
+        return (self._event(Event.BLOCK_CLOSED, index=0)
+                + self._event(Event.CHANGED, delta={"stop_reason": STOPS.get(reason, reason)}, usage=used(usage))
+                + self._event(Event.GENERATED))
+
+    def failed(self, kind: str, message: str, come_back_ms: int = 0) -> bytes:
+        return self._event(Event.FAILED, error=problem(kind, message, come_back_ms))
+
+
+def used(usage: Usage) -> dict[str, int]:
+    return {"input_tokens": usage.read, "cache_read_input_tokens": usage.kept, "output_tokens": usage.written}
+
+
+def problem(kind: str, message: str, come_back_ms: int = 0) -> dict[str, Any]:
+    """What went wrong: ``kind`` is rejected (harmless to repeat), aborted (nothing promised) or a client's fault."""
+    return {"kind": kind, "message": message, **({"retry_after_ms": come_back_ms} if come_back_ms else {})}
+
+
+def failure(kind: str, message: str, come_back_ms: int = 0) -> bytes:
+    """The body of an answer that failed before its stream began."""
+    return _encode({"type": "error", "error": problem(kind, message, come_back_ms)})
+
+
+def whole(id: str, model: str, text: str, reason: str, usage: Usage) -> bytes:
+    """The body of a whole answer."""
+    return _encode({"id": id, "type": "message", "role": "assistant", "model": model,
+                    "content": [{"type": "text", "text": text}], "stop_reason": STOPS.get(reason, reason),
+                    "usage": used(usage)})
--- /dev/null
+++ b/aniserudder/settings/schema.py
@@ -0,0 +1,188 @@
+"""The settings form of a node. Durations are written in milliseconds and handed on in whole microseconds.
+
+Nothing here is a decision: these are facts of a deployment (what its clients and engines promise and allow) and
+bounds that its operators set. What the decision module is handed of them is put together in ``decisions_settings``.
+"""
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from ..decisions.interface import Effect, Role, Settings, TypeSettings
+
+Millis = Annotated[float, Field(ge=0, le=86_400_000)]
+Name = Annotated[str, Field(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+Port = Annotated[int, Field(ge=0, le=65535)]
+Count = Annotated[int, Field(ge=1, le=1_000_000)]
+
+
+def micros(millis: float) -> int:
+    """Milliseconds as whole microseconds."""
+    return round(millis * 1000)
+
+
+class Part(BaseModel):
+    """A part of the form: unknown keys are errors, values are not guessed from other types."""
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Address(Part):
+    """Where a socket listens. Loopback unless the operator says otherwise."""
+    host: str = "127.0.0.1"
+    port: Port = 0
+
+
+class TrafficType(Part):
+    """One traffic type: what its sequences are worth and what a repeat of one would do."""
+    utility: Annotated[float, Field(ge=0)] = 1.0
+    latency_slo_ms: Millis = 1500
+    slo_ms_per_1000_tokens: Millis = 40
+    token_pace_ms: Millis = 70
+    abandon_ms: Annotated[float, Field(gt=0, le=86_400_000)] = 6000
+    abandon_ms_per_1000_tokens: Millis = 80
+    effect: Literal["repeatable", "tokened", "once-only"] = "once-only"
+    repeat_group: Literal["all", "zone", "cell"] = "all"
+    repeat_window_ms: Millis = 5000
+    models: list[str] = Field(default_factory=list, description="model names that stand for this type")
+
+
+class Customer(Part):
+    """A customer: the keys that show it, and how many sequences a second lie inside its share, over all nodes."""
+    keys: list[Annotated[str, Field(min_length=8, max_length=256)]] = Field(default_factory=list)
+    allowance_per_s: Annotated[float, Field(ge=0)] = 0.0
+
+
+class EngineKind(Part):
+    """What engines of a kind do."""
+    role: Literal["reader", "writer", "mixed"]
+
+
+class Rules(Part):
+    """Timing figures of the rules, as the deployment states them."""
+    answer_margin_ms: Millis = Field(25, description="final answers are due this long before the client's abandon time")
+    let_go_ms: Millis = Field(300, description="a held state is taken or let go within this time")
+    cold_share: Annotated[float, Field(ge=0, le=1)] = 0.3
+    cold_ms: Millis = 13_000
+    fall_multiple: Annotated[float, Field(ge=1)] = 2.5
+
+
+class Limits(Part):
+    """Bounds of the node. Each has a counter or a log line of its own, see docs/operate.md."""
+    max_attempts: Annotated[int, Field(ge=1, le=32)] = 5
+    max_come_back_ms: Millis = Field(500, description="longest come-back time that clients heed; 0: none is told")
+    connect_ms: Annotated[float, Field(gt=0)] = 250
+    engine_idle_ms: Millis = Field(10_000, description="idle engine connections are closed after this")
+    engine_idle_most: Count = Field(64, description="idle connections kept for an engine")
+    stream_silence_ms: Annotated[float, Field(gt=0)] = Field(
+        15_000, description="a started stream that sends nothing for so long counts as cut")
+    line_bytes: Count = Field(262_144, description="longest line or body taken from an engine")
+    body_bytes: Count = Field(1_048_576, description="longest request body taken from a client")
+    header_bytes: Count = Field(16_384, description="most header bytes taken from a client")
+    request_ms: Annotated[float, Field(gt=0)] = Field(
+        5_000, description="a client's request has to be complete within this time from its first byte")
+    client_idle_ms: Annotated[float, Field(gt=0)] = Field(60_000, description="idle client connections are closed")
+    in_flight: Count = Field(4_096, description="sequences that a node holds at once; more are rejected")
+    client_buffer_bytes: Count = Field(
+        1_048_576, description="what may wait for one slow client; beyond it the sequence is aborted")
+    stop_ms: Millis = Field(20_000, description="started streams get this long to finish when the node stops")
+    let_go_tries: Annotated[int, Field(ge=1, le=16)] = Field(4, description="tries to deliver one letting go")
+
+
+class Tokens(Part):
+    """How prompt tokens are estimated before any engine has counted them."""
+    chars_per_token: Annotated[float, Field(gt=0, le=64)] = 4.0
+    per_message: Annotated[int, Field(ge=0, le=1000)] = 4
+    correction: Annotated[float, Field(ge=0, le=1)] = Field(
+        0.05, description="weight of each count reported by an engine in the learned ratio; 0: none is learned")
+
+
+class Messages(Part):
+    """The client side. ``event_names`` gives other names to the events of a stream, see messages/vocabulary.py."""
+    listen: Address = Address(port=8080)
+    event_names: dict[str, Name] = Field(default_factory=dict)
+    default_type: str = Field("", description="traffic type of a request that names none; empty: it is refused")
+    keys_needed: bool = Field(False, description="requests without a customer's key are refused")
+    max_output: Count = 4096
+
+
+class Row(Part):
+    """One engine of a list given in the settings or in a roster file."""
+    engine: Name
+    address: Annotated[str, Field(pattern=r"^[0-9A-Za-z.\-:\[\]]+:\d+$")]
+    kind: str
+    zone: str
+    rack: int = -1
+    availability: Literal["running", "draining", "gone"] = "running"
+    started_at: float = Field(0, ge=0, description="seconds since 1970; 0: long past")
+    size: Annotated[float, Field(gt=0)] = 1.0
+
+
+class RosterSource(Part):
+    """Where the engine list comes from: one of a server that streams changes, a watched file, or rows given here."""
+    server: str = Field("", description="host:port of a roster server")
+    file: str = Field("", description="path of a watched YAML file of rows")
+    rows: list[Row] = Field(default_factory=list)
+    poll_ms: Annotated[float, Field(ge=10)] = 500
+    again_ms: Annotated[float, Field(ge=10)] = Field(500, description="wait before the server is asked again")
+    last_list: str = Field("", description="path where the last list is kept, and started from")
+
+    @model_validator(mode="after")
+    def _one_source(self) -> RosterSource:
+        if sum(map(bool, (self.server, self.file, self.rows))) != 1:
+            raise ValueError("exactly one of server, file and rows has to be given")
+        return self
+
+
+class NodeSettings(Part):
+    """The whole form."""
+    node: Name = "node"
+    zone: str
+    nodes: Count = Field(1, description="nodes in all, among which customers' shares are divided")
+    seed: int | None = Field(None, description="of the node's chance; left out: drawn at start")
+    bind: str = Field("", description="local address of connections to engines; empty: any")
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    record: str = Field("", description="path of the decision record; empty: none is kept")
+    messages: Messages = Messages()
+    roster: RosterSource
+    kinds: dict[Name, EngineKind] = Field(min_length=1)
+    types: dict[Name, TrafficType] = Field(min_length=1)
+    customers: dict[Name, Customer] = Field(default_factory=dict)
+    rules: Rules = Rules()
+    limits: Limits = Limits()
+    tokens: Tokens = Tokens()
+    writers_read: bool = True
+    may_recall: bool = True
+    may_probe: bool = False
+    report_fields: list[Name] = Field(default_factory=list)
+
+    @model_validator(mode="after")
+    def _names_meet(self) -> NodeSettings:
+        if self.messages.default_type and self.messages.default_type not in self.types:
+            raise ValueError(f"messages.default_type: {self.messages.default_type!r} is none of types "
+                             f"({', '.join(self.types)})")
+        keys: dict[str, str] = {}
+        for name, customer in self.customers.items():
+            for key in customer.keys:
+                if keys.setdefault(key, name) != name:
+                    raise ValueError(f"customers.{name}.keys: a key stands with {keys[key]!r} too")
+        models: dict[str, str] = {}
+        for name, row in self.types.items():
+            for model in row.models:
+                if models.setdefault(model, name) != name:
+                    raise ValueError(f"types.{name}.models: {model!r} stands with {models[model]!r} too")
+        return self
+
+    def decisions_settings(self) -> Settings:
+        """What the decision module is handed. Times in whole microseconds."""
+        types = tuple(TypeSettings(name, t.utility, micros(t.latency_slo_ms), micros(t.slo_ms_per_1000_tokens),
+                                   micros(t.token_pace_ms), Effect(t.effect), t.repeat_group,
+                                   micros(t.repeat_window_ms)) for name, t in self.types.items())
+        return Settings(
+            nodes=self.nodes, zone=self.zone, types=types,
+            roles={name: Role(kind.role) for name, kind in self.kinds.items()},
+            writers_read=self.writers_read, may_probe=self.may_probe, may_recall=self.may_recall,
+            report_fields=tuple(self.report_fields), max_attempts=self.limits.max_attempts,
+            max_come_back=micros(self.limits.max_come_back_ms), cold_share=self.rules.cold_share,
+            cold_time=micros(self.rules.cold_ms), fall_multiple=self.rules.fall_multiple,
+            allowances={name: c.allowance_per_s for name, c in self.customers.items() if c.allowance_per_s})
