--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -91,3 +91,71 @@
         click.echo(f"{record}: {wrong}", err=True)
         sys.exit(2 if str(wrong).startswith("line 1:") else 1)
     click.echo(f"{record}: {done.calls} calls of node {done.node or '-'}, {done.sequences} sequences: all decided alike")
+
+
+@main.command()
+@click.argument("day", required=False)
+@click.option("--seed", default=1, show_default=True, help="Of traffic and faults; the same seed gives the same.")
+@click.option("--record", type=click.Path(dir_okay=False), help="Write what was seen at the sockets there.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keep nodes' settings, logs and decision records there.")
+@click.option("--list", "names", is_flag=True, help="Name the shipped days.")
+@click.option("--quiet", is_flag=True, help="No lines of progress.")
+def rehearse(day: str | None, seed: int, record: str | None, keep: str | None, names: bool, quiet: bool) -> None:
+    """Play DAY (a shipped name or a YAML file) on loopback and check the rules from the sockets.
+
+    Exit 1 if a rule is broken, a node fails or a decision record does not replay.
+    """
+    from rich.console import Console
+
+    from ..rehearsal import audit as judge, report
+    from ..rehearsal.day import find, shipped
+    from ..rehearsal.plan import draw
+    from ..rehearsal.stage import run
+    if names:
+        width = max(len(name) for name in shipped())
+        for name, about in shipped().items():
+            click.echo(f"{name:{width}}  {about}")
+        return
+    if not day:
+        fail("DAY is missing: a shipped name (see --list) or a YAML file")
+    form = find(day)
+    plan = draw(form, seed)
+    click.echo(f"{day}, seed {seed}: plan {plan.digest}, {len(plan.ops)} operations, {len(plan.strikes)} troubles, "
+               f"{len(plan.nodes)} nodes, {len(plan.engines)} engines, {len(form.zones)} zones")
+    say = (lambda line: None) if quiet else (lambda line: click.echo(f"  {line}"))
+    try:
+        out = open(record, "wb") if record else None
+    except OSError as problem:
+        fail(f"{record}: {problem.strerror}")
+    ran = run(form, plan, seed, say, out, keep or "")
+    if out:
+        out.close()
+    if ran.trouble:
+        click.echo(f"the rehearsal failed: {ran.trouble}", err=True)
+        if not ran.lines:
+            sys.exit(1)
+    verdict = judge.audit(judge.Record(ran.lines))
+    report.show(verdict, Console(width=118))
+    click.echo(f"decision records: {ran.replayed} calls replayed, "
+               + (f"UNEQUAL: {ran.unequal}" if ran.unequal else "all decided alike"))
+    click.echo(report.last_line(verdict))
+    sys.exit(1 if verdict.broken or ran.trouble or ran.unequal else 0)
+
+
+@main.command()
+@click.argument("record", type=click.Path(dir_okay=False))
+def audit(record: str) -> None:
+    """Check the five rules in a RECORD of a rehearsal; exit 1 if one is broken."""
+    from rich.console import Console
+
+    from ..rehearsal import audit as judge, report
+    try:
+        with Path(record).open("rb") as lines:
+            verdict = judge.audit(judge.read(lines))
+    except OSError as problem:
+        fail(f"{record}: {problem.strerror}")
+    except judge.BadRecord as wrong:
+        fail(f"{record}: {wrong}")
+    report.show(verdict, Console(width=118))
+    click.echo(report.last_line(verdict))
+    sys.exit(1 if verdict.broken else 0)
--- /dev/null
+++ b/aniserudder/rehearsal/day.py
@@ -0,0 +1,131 @@
+"""The form of a scripted day: fleet, nodes, traffic, and troubles at their times. Written in YAML."""
+from __future__ import annotations
+
+from importlib import resources
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import Field, model_validator
+
+from ..settings import BadSettings, load, load_text
+from ..settings.schema import Name, Part, TrafficType
+
+Seconds = Annotated[float, Field(ge=0, le=600)]
+Share = Annotated[float, Field(ge=0, le=1)]
+Span = Annotated[list[Annotated[float, Field(ge=0)]], Field(min_length=2, max_length=2)]
+
+Trouble = Literal["balancer_crash", "node_stop", "flush", "hang", "slow", "zone_cut", "preempt", "mass_restart", "pauses",
+                  "answer_lost", "give_up", "burst", "heavy_tail", "hot_key", "refuse", "reset_before", "reset_after",
+                  "garble", "roster_away", "role_swap"]
+
+
+class DayRules(Part):
+    """Figures of the rules, as the audit applies them."""
+    answer_margin_ms: float = 100
+    answer_slack_ms: float = 60
+    drain_grace_ms: float = 500
+    let_go_ms: float = 300
+    seen_slack_ms: float = Field(60, description="what loopback and a busy machine may add to what a rule allows")
+    cold_share: Share = 0.3
+    cold_ms: float = 4000
+    fall_multiple: float = 2.5
+    fall_ms: float = 1500
+
+
+class Engines(Part):
+    """Engines of one kind in one zone."""
+    kind: Name
+    role: Literal["reader", "writer", "mixed"]
+    zone: Name
+    count: Annotated[int, Field(ge=1, le=100)]
+    rack: int = 0
+    slots: Annotated[int, Field(ge=1)] = 24
+    queue: Annotated[int, Field(ge=0)] = 24
+    memory: Annotated[int, Field(ge=1000)] = 120_000
+    read_per_s: Annotated[float, Field(gt=0)] = 20_000
+    step_ms: Annotated[float, Field(gt=0)] = 20
+
+
+class TypeTraffic(TrafficType):
+    """A traffic type, and what its sequences look like."""
+    share: Annotated[float, Field(gt=0)] = 1.0
+    prompt_tokens: Span = [150, 600]
+    shared_tokens: Span = [300, 1500]
+    openings: Annotated[int, Field(ge=1)] = 6
+    output_tokens: Span = [10, 30]
+    turns: Annotated[float, Field(ge=1)] = 2.0
+    streamed: Share = 0.8
+
+
+class Traffic(Part):
+    """Clients and their habits."""
+    per_s: Annotated[float, Field(gt=0, le=500)] = 14
+    tries: Annotated[int, Field(ge=1, le=10)] = 3
+    backoff_ms: Span = [50, 300]
+    leaves: Share = 0.02
+    try_share: Span = [0.7, 1.0]
+    front_notice_ms: float = 1200
+
+
+class Fault(Part):
+    """One trouble. What is struck is drawn by the seed from what ``kinds`` and ``zone`` leave."""
+    at: Seconds
+    trouble: Trouble
+    seconds: Seconds = 3
+    count: Annotated[int, Field(ge=1)] = 1
+    part: Annotated[float, Field(gt=0, le=1)] | None = None
+    kinds: list[Name] = Field(default_factory=list)
+    zone: str = ""
+    size: Annotated[float, Field(gt=0)] = 2.0
+    share: Share = 0.3
+    late_s: Seconds = Field(0.5, description="how late the roster tells of it")
+
+
+class Day(Part):
+    """The whole form."""
+    about: str
+    seconds: Annotated[float, Field(ge=2, le=300)] = 30
+    zones: Annotated[list[Name], Field(min_length=1)] = ["east", "west"]
+    nodes: dict[Name, Annotated[int, Field(ge=1, le=16)]]
+    rules: DayRules = DayRules()
+    max_attempts: Annotated[int, Field(ge=1, le=16)] = 5
+    event_names: dict[str, Name] = Field(default_factory=dict)
+    engines: list[Engines] = Field(min_length=1)
+    types: dict[Name, TypeTraffic] = Field(min_length=1)
+    traffic: Traffic = Traffic()
+    troubles: list[Fault] = Field(default_factory=list)
+
+    @model_validator(mode="after")
+    def _names_meet(self) -> Day:
+        kinds = {e.kind for e in self.engines}
+        for zone in [*self.nodes, *(e.zone for e in self.engines), *(t.zone for t in self.troubles if t.zone)]:
+            if zone not in self.zones:
+                raise ValueError(f"zone {zone!r} is none of zones ({', '.join(self.zones)})")
+        for fault in self.troubles:
+            for kind in fault.kinds:
+                if kind not in kinds:
+                    raise ValueError(f"troubles: kind {kind!r} is none of engines' ({', '.join(sorted(kinds))})")
+            if fault.at >= self.seconds:
+                raise ValueError(f"troubles: {fault.trouble} at {fault.at:g} s lies past the day's end")
+        return self
+
+
+def shipped() -> dict[str, str]:
+    """The days that come with the program: name and what they are about."""
+    folder = resources.files(__package__) / "days"
+    names = sorted(p.name.removesuffix(".yaml") for p in folder.iterdir() if p.name.endswith(".yaml"))
+    return {name: find(name).about for name in names}
+
+
+def find(name: str) -> Day:
+    """A shipped day by its name, or one by the path of its file.
+
+    Raises:
+        BadSettings: there is none, or it cannot be used.
+    """
+    inside = resources.files(__package__) / "days" / f"{name}.yaml"
+    if "/" not in name and inside.is_file():
+        return load_text(inside.read_text(encoding="utf-8"), f"{name}.yaml", Day)
+    if not Path(name).exists():
+        raise BadSettings([f"{name}: neither a shipped day (see --list) nor a file"])
+    return load(name, Day)
--- /dev/null
+++ b/aniserudder/rehearsal/report.py
@@ -0,0 +1,47 @@
+"""Prints a verdict: tables by rule and by traffic type with rich, and one last line that scripts can read."""
+from __future__ import annotations
+
+from rich.console import Console
+from rich.table import Table
+
+from .audit import RULES, Verdict
+
+SHOWN = 12  # findings that are printed
+
+
+def show(verdict: Verdict, console: Console) -> None:
+    """The tables and the findings."""
+    rules = Table(title="rules", title_justify="left")
+    for name in ("rule", "", "checked", "broken"):
+        rules.add_column(name, justify="left" if name == "" else "right")
+    for number, text in RULES.items():
+        broken = sum(f.rule == number for f in verdict.findings)
+        rules.add_row(str(number), text, str(verdict.checked[number]), str(broken) if broken else "-")
+    console.print(rules)
+    types = Table(title="traffic types", title_justify="left")
+    columns = ("type", "asked", "tries", "in SLO", "late", "rejected", "aborted", "left", "lost", "effects", "median ms",
+               "99th ms")
+    for name in columns:
+        types.add_column(name, justify="left" if name == "type" else "right")
+    for name, row in sorted(verdict.types.items()):
+        took = sorted(row.latency)
+        marks = [f"{took[min(len(took) - 1, int(len(took) * p))] / 1000:.0f}" if took else "-" for p in (0.5, 0.99)]
+        types.add_row(name, *map(str, (row.asked, row.tries, row.in_slo, row.late, row.rejected, row.aborted, row.left,
+                                       row.lost, row.effects)), *marks)
+    console.print(types)
+    for finding in verdict.findings[:SHOWN]:
+        console.print(f"rule {finding.rule} at {finding.at / 1e6:.3f} s: {finding.text}", highlight=False, soft_wrap=True)
+    if len(verdict.findings) > SHOWN:
+        console.print(f"and {len(verdict.findings) - SHOWN} more", highlight=False)
+
+
+def last_line(verdict: Verdict) -> str:
+    """``rules: 5 kept, 0 broken; N sequences, ...``."""
+    rows = verdict.types.values()
+    total = {name: sum(getattr(r, name) for r in rows)
+             for name in ("asked", "in_slo", "late", "rejected", "aborted", "left", "lost", "effects")}
+    broken = len(verdict.broken)
+    return (f"rules: {len(RULES) - broken} kept, {broken} broken; {verdict.sequences} sequences, {total['asked']} asked, "
+            f"{total['in_slo']} generated in SLO, {total['late']} late, {total['rejected']} rejected, "
+            f"{total['aborted']} aborted, {total['left']} left, {total['lost']} lost with a node, "
+            f"{total['effects']} effects")
--- /dev/null
+++ b/aniserudder/rehearsal/stage.py
@@ -0,0 +1,396 @@
+"""Plays a drawn day: stand-in engines, roster and clients in this process, each node in a process of its own.
+
+All that is witnessed is witnessed in this one process, on one clock. Nodes are told nothing but what their sockets
+carry, and are killed outright where the script says so.
+"""
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import BinaryIO
+
+import yaml
+from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.interfaces import IReactorCore, IReactorProcess, IReactorTCP
+from twisted.internet.protocol import ProcessProtocol
+from twisted.python.failure import Failure
+
+from ..core import Unequal, replay
+from ..messages.vocabulary import Vocabulary
+from ..settings.schema import Row
+from ..standins.client import Clients, Front, NodeSeat
+from ..standins.engine import Repeats, StandinEngine
+from ..standins.roster import StandinRoster
+from ..standins.witness import Witness
+from .day import Day
+from .plan import Plan, Strike
+
+READY_WITHIN = 20.0   # seconds for the nodes to listen
+EXIT_WITHIN = 12.0    # seconds for a node to stop in order
+HOLDS_SETTLE = 0.6    # seconds after the last node's end, for releases under way
+
+
+class NodeFailed(Exception):
+    """A node did not start, or did not stop in order."""
+
+
+@dataclass(slots=True)
+class Ran:
+    """What a played day left."""
+    lines: list[dict[str, object]]
+    replayed: int = 0
+    unequal: str = ""
+    exits: dict[str, int] = None
+    trouble: str = ""
+
+
+class NodeProcess(ProcessProtocol):
+    """One node's process."""
+
+    def __init__(self, name: str, log: BinaryIO) -> None:
+        self.name, self.log = name, log
+        self.ended: Deferred[int] = Deferred()
+        self.killed = False
+
+    def errReceived(self, data: bytes) -> None:
+        self.log.write(data)
+
+    outReceived = errReceived
+
+    def processEnded(self, reason: Failure) -> None:
+        code = reason.value.exitCode
+        self.ended.callback(-9 if code is None else code)
+
+
+class Stage:
+    """One day on loopback.
+
+    Args:
+        folder: takes the nodes' settings, logs, last lists and decision records.
+        say: called with a line of progress.
+    """
+
+    def __init__(self, reactor: IReactorTCP | IReactorProcess | IReactorCore, day: Day, plan: Plan, seed: int,
+                 folder: Path, say: Callable[[str], None], out: BinaryIO | None = None) -> None:
+        self.reactor, self.day, self.plan, self.folder, self.say = reactor, day, plan, folder, say
+        self.witness = Witness(reactor, out)
+        rules = day.rules
+        types = {n: {"slo_us": round(t.latency_slo_ms * 1000), "effect": t.effect} for n, t in day.types.items()}
+        self.witness.note("day", seed=seed, plan=plan.digest, sequences=len(plan.ops), types=types,
+                          rules=rules.model_dump(), connect_ms=250, max_attempts=day.max_attempts)
+        self._chance = Random(f"{seed} engines").random
+        window = max((t.repeat_window_ms for t in day.types.values()), default=5000) / 1000
+        marks = Repeats(window)
+        self.engines = {s.name: StandinEngine(reactor, s, self.witness, day.zones, self._chance, marks)
+                        for s in plan.engines}
+        rows = [Row(engine=s.name, address="127.0.0.1:1", kind=s.kind, zone=s.zone, rack=s.rack) for s in plan.engines]
+        self.roster = StandinRoster(reactor, rows, self.witness,
+                                    lambda engine, node: self.engines[engine].address(plan.nodes.get(node, "")))
+        self.seats = [NodeSeat(n, z, "127.0.0.1", _free_port()) for n, z in plan.nodes.items()]
+        self.front = Front(reactor, self.seats, day.traffic.front_notice_ms / 1000)
+        slack = round((rules.answer_slack_ms + rules.seen_slack_ms) * 1000) + 200_000
+        self.clients = Clients(reactor, self.front, self.witness, slack, Vocabulary(day.event_names))
+        self.processes: dict[str, NodeProcess] = {}
+        self.exits: dict[str, int] = {}
+        self.trouble = ""
+
+    def play(self) -> Deferred[Ran]:
+        """Runs the day to its end."""
+        done: Deferred[Ran] = Deferred()
+        for seat in self.seats:
+            self._spawn(seat)
+        self._wait_ready(self.reactor.seconds() + READY_WITHIN, self._ready_seats(), done)
+        return done
+
+    # Nodes.
+
+    def _settings(self, seat: NodeSeat) -> Path:
+        day, rules = self.day, self.day.rules
+        own = {"share", "prompt_tokens", "shared_tokens", "openings", "output_tokens", "turns", "streamed"}
+        form = {
+            "node": seat.name, "zone": seat.zone, "nodes": len(self.seats), "seed": self.plan.seeds[seat.name],
+            "record": str(self.folder / f"{seat.name}.decisions"),
+            "messages": {"listen": {"host": seat.host, "port": seat.port}, "event_names": day.event_names},
+            "roster": {"server": self.roster.listener.address, "last_list": str(self.folder / f"{seat.name}.list")},
+            "kinds": {e.kind: {"role": e.role} for e in day.engines},
+            "types": {n: t.model_dump(exclude=own) | {"models": [n]} for n, t in day.types.items()},
+            "customers": {"members": {"keys": ["members-key-1"]}},
+            "rules": {"answer_margin_ms": rules.answer_margin_ms, "let_go_ms": rules.let_go_ms,
+                      "cold_share": rules.cold_share, "cold_ms": rules.cold_ms, "fall_multiple": rules.fall_multiple},
+            "limits": {"max_attempts": day.max_attempts}}
+        path = self.folder / f"{seat.name}.yaml"
+        path.write_text(yaml.safe_dump(form))
+        return path
+
+    def _spawn(self, seat: NodeSeat) -> None:
+        log = (self.folder / f"{seat.name}.log").open("ab", buffering=0)
+        process = self.processes[seat.name] = NodeProcess(seat.name, log)
+        process.ended.addCallback(self._ended, seat, process)
+        self.witness.note("node_started", node=seat.name)
+        self.reactor.spawnProcess(process, sys.executable,
+                                  [sys.executable, "-m", "aniserudder", "serve", str(self._settings(seat))],
+                                  env=os.environ | {"PYTHONUNBUFFERED": "1"})
+
+    def _ended(self, code: int, seat: NodeSeat, process: NodeProcess) -> int:
+        self.witness.note("node_ended", node=seat.name, code=code, killed=process.killed)
+        process.log.close()
+        if not process.killed:
+            self.exits[seat.name] = code
+            if code != 0:
+                self.trouble = self.trouble or f"{seat.name} exited with {code}, see {self.folder}"
+        return code
+
+    def _ready_seats(self) -> list[NodeSeat]:
+        return list(self.seats)
+
+    def _wait_ready(self, until: float, waiting: list[NodeSeat], done: Deferred[Ran]) -> None:
+        waiting = [s for s in waiting if not _listens(s)]
+        if not waiting:
+            self.say(f"{len(self.seats)} nodes and {len(self.engines)} engines are up")
+            self._begin(done)
+        elif self.reactor.seconds() > until or self.trouble:
+            self._abandon(done, self.trouble or f"{waiting[0].name} does not listen, see {self.folder}")
+        else:
+            self.reactor.callLater(0.1, self._wait_ready, until, waiting, done)
+
+    def _abandon(self, done: Deferred[Ran], trouble: str) -> None:
+        self.trouble = trouble
+        for process in self.processes.values():
+            if process.transport and process.transport.pid:
+                process.killed = True
+                process.transport.signalProcess("KILL")
+        self._close()
+        done.callback(Ran(self.witness.lines, exits=self.exits, trouble=trouble))
+
+    # The day.
+
+    def _begin(self, done: Deferred[Ran]) -> None:
+        self.witness.note("begun")
+        for op in self.plan.ops:
+            self.reactor.callLater(op.at, self.clients.arrive, op)
+        for strike in self.plan.strikes:
+            self.reactor.callLater(strike.fault.at, self._strike, strike)
+        for second in range(5, int(self.day.seconds), 5):
+            self.reactor.callLater(second, self._progress, second)
+        # The nodes are stopped while some sequences are still under way: a stop has to answer them.
+        self.reactor.callLater(self.day.seconds + 0.4, self._stop_nodes, done)
+
+    def _progress(self, second: int) -> None:
+        self.say(f"{second:3d} s: {self.clients.arrived} arrived, {self.clients.open} open")
+
+    def _stop_nodes(self, done: Deferred[Ran]) -> None:
+        running = [p for p in self.processes.values() if p.transport and p.transport.pid]
+        for process in running:
+            self.witness.note("node_stopping", node=process.name)
+            process.transport.signalProcess("TERM")
+        timer = self.reactor.callLater(EXIT_WITHIN, self._too_late, running)
+        waits = DeferredList([p.ended for p in running])
+
+        def ended(_: object) -> None:
+            if timer.active():
+                timer.cancel()
+            self.reactor.callLater(HOLDS_SETTLE, self._finish, done)
+        waits.addCallback(ended)
+
+    def _too_late(self, running: list[NodeProcess]) -> None:
+        for process in running:
+            if process.transport and process.transport.pid:
+                self.trouble = f"{process.name} did not stop within {EXIT_WITHIN:g} s, see {self.folder}"
+                process.killed = True
+                process.transport.signalProcess("KILL")
+
+    def _finish(self, done: Deferred[Ran]) -> None:
+        self.witness.note("over")
+        self._close()
+        ran = Ran(self.witness.lines, exits=self.exits, trouble=self.trouble)
+        for record in sorted(self.folder.glob("*.decisions.*")):
+            try:
+                with record.open("rb") as lines:
+                    ran.replayed += replay(lines).calls
+            except Unequal as wrong:
+                ran.unequal = f"{record.name}: {wrong}"[:300]
+        done.callback(ran)
+
+    def _close(self) -> None:
+        for engine in self.engines.values():
+            engine.stop()
+        self.roster.stop()
+
+    # Troubles.
+
+    def _strike(self, strike: Strike) -> None:
+        fault = strike.fault
+        self.witness.note("trouble", trouble=fault.trouble, engines=strike.engines, nodes=strike.nodes,
+                          zone=strike.zone, seconds=fault.seconds)
+        struck = ", ".join([*strike.engines, *strike.nodes, strike.zone]).strip(", ")
+        self.say(f"{fault.at:5.1f} s: {fault.trouble} {struck}")
+        engines = [self.engines[n] for n in strike.engines]
+        later = self.reactor.callLater
+        match fault.trouble:
+            case "balancer_crash":
+                for name in strike.nodes:
+                    self._kill(name, fault.seconds)
+            case "node_stop":
+                for name in strike.nodes:
+                    self._stop_one(name, fault.seconds)
+            case "flush":
+                for engine in engines:
+                    engine.forget()
+            case "pauses":
+                for engine in engines:
+                    engine.pause(fault.seconds)
+            case "hang":
+                self._while(engines, fault.seconds, "stall", True)
+            case "slow":
+                self._while(engines, fault.seconds, "slow", fault.size)
+            case "answer_lost":
+                self._while(engines, fault.seconds, "lose_answers", fault.share)
+            case "reset_before" | "reset_after":
+                self._while(engines, fault.seconds, "reset", fault.trouble.removeprefix("reset_"))
+            case "garble":
+                self._while(engines, fault.seconds, "garble", self._chance_of("half line", "long line", "noise"))
+            case "refuse" | "mass_restart":
+                for engine in engines:  # the process dies and comes back cold
+                    self._down(engine, fault, fault.seconds)
+            case "preempt":
+                for engine in engines:
+                    self._preempt(engine, fault)
+            case "role_swap":
+                self._swap(engines, fault)
+            case "zone_cut":
+                self._cut(strike.zone, fault.seconds)
+            case "roster_away":
+                self.roster.away(fault.seconds)
+                later(fault.seconds, self.witness.note, "roster_back")
+
+    def _chance_of(self, *choices: str) -> str:
+        return choices[int(self._chance() * len(choices))]
+
+    def _while(self, engines: list[StandinEngine], seconds: float, name: str, value: object) -> None:
+        for engine in engines:
+            faults = engine.faults
+            before = getattr(faults, name)
+            setattr(faults, name, value)
+            self.reactor.callLater(seconds, setattr, faults, name, before)
+
+    def _kill(self, name: str, seconds: float) -> None:
+        process = self.processes[name]
+        if process.transport and process.transport.pid:
+            process.killed = True
+            self.witness.note("node_killed", node=name)
+            process.transport.signalProcess("KILL")
+        self._back(name, seconds)
+
+    def _stop_one(self, name: str, seconds: float) -> None:
+        process = self.processes[name]
+        if process.transport and process.transport.pid:
+            self.witness.note("node_stopping", node=name)
+            process.transport.signalProcess("TERM")
+            process.ended.addCallback(lambda code: self._back(name, seconds) or code)
+
+    def _back(self, name: str, seconds: float) -> None:
+        seat = next(s for s in self.seats if s.name == name)
+        self.reactor.callLater(seconds, self._spawn, seat)
+
+    def _down(self, engine: StandinEngine, fault: object, seconds: float) -> None:
+        engine.kill()
+
+        def back() -> None:
+            engine.start()
+            self.roster.change(engine.spec.name, fault.late_s, availability="running", started_at=engine.started_at)
+        self.reactor.callLater(seconds, back)
+
+    def _preempt(self, engine: StandinEngine, fault: object) -> None:
+        """Notice first: it drains, refuses new work, then dies; a fresh process comes up later."""
+        engine.faults.draining = True
+        self.roster.change(engine.spec.name, fault.late_s, availability="draining")
+
+        def gone() -> None:
+            engine.kill()
+            self.roster.change(engine.spec.name, fault.late_s, availability="gone")
+        self.reactor.callLater(fault.seconds, gone)
+
+        def back() -> None:
+            engine.start()
+            row = Row(engine=engine.spec.name, address="127.0.0.1:1", kind=engine.spec.kind, zone=engine.spec.zone,
+                      rack=engine.spec.rack, started_at=engine.started_at)
+            self.roster.rows[row.engine] = row
+            self.roster.change(row.engine, 0.0, availability="running")
+        self.reactor.callLater(fault.seconds + max(2.0, 2 * fault.late_s), back)
+
+    def _swap(self, engines: list[StandinEngine], fault: object) -> None:
+        """Two engines change roles: each dies and comes back cold as the other's kind."""
+        if len(engines) < 2:
+            return
+        first, second = engines[:2]
+        kinds = (first.spec.kind, first.spec.role), (second.spec.kind, second.spec.role)
+        for engine, (kind, role) in ((first, kinds[1]), (second, kinds[0])):
+            engine.spec.kind, engine.spec.role = kind, role
+            engine.kill()
+            engine.start()
+            self.roster.change(engine.spec.name, fault.late_s, availability="running", kind=kind,
+                               started_at=engine.started_at)
+
+    def _cut(self, zone: str, seconds: float) -> None:
+        """Between one zone and the others, both ways: engines there from nodes elsewhere, and the reverse."""
+        cut = []
+        for engine in self.engines.values():
+            for from_zone, listener in engine.listeners.items():
+                if (engine.spec.zone == zone) != (from_zone == zone):
+                    listener.cut()
+                    cut.append(listener)
+                    self.witness.note("cut", engine=engine.spec.name, zone=from_zone)
+
+        def heal() -> None:
+            for listener in cut:
+                listener.heal()
+            self.witness.note("healed", zone=zone)
+        self.reactor.callLater(seconds, heal)
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def _listens(seat: NodeSeat) -> bool:
+    with socket.socket() as probe:
+        probe.settimeout(0.05)
+        return probe.connect_ex((seat.host, seat.port)) == 0
+
+
+def run(day: Day, plan: Plan, seed: int, say: Callable[[str], None], out: BinaryIO | None,
+        keep: str = "") -> Ran:
+    """Plays a day in this process's reactor, which runs once in a process's life.
+
+    Args:
+        out: takes the witness record, if one is wanted.
+        keep: folder that keeps settings, logs and decision records; empty: a folder that goes with the run.
+    """
+    from twisted.internet import reactor
+    ran: list[Ran] = []
+    with tempfile.TemporaryDirectory(prefix="rehearsal-") as fresh:
+        folder = Path(keep or fresh)
+        folder.mkdir(parents=True, exist_ok=True)
+        for old in folder.glob("*.decisions.*"):
+            old.unlink()
+        stage = Stage(reactor, day, plan, seed, folder, say, out)
+
+        def begin() -> None:
+            done = stage.play()
+            done.addCallback(ran.append)
+            done.addErrback(lambda failure: ran.append(Ran([], trouble=str(failure.value))))
+            done.addBoth(lambda _: reactor.callLater(0.05, reactor.stop))
+        reactor.callWhenRunning(begin)
+        signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(
+            stage._abandon, Deferred().addBoth(lambda _: reactor.stop()), "ended by a signal"))
+        reactor.run()
+    return ran[0] if ran else Ran([], trouble="ended by a signal")
--- /dev/null
+++ b/aniserudder/standins/client.py
@@ -0,0 +1,283 @@
+"""Clients that stand in for real ones: open-loop arrivals, impatience, retries as their traffic type allows.
+
+A client goes by a plain front layer, which goes on naming a dead node for a while. One operation (``Op``) may take
+several tries; each try is a sequence of its own, known by the ``ref`` that stands in its prompt.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IDelayedCall, IReactorTCP
+from twisted.internet.protocol import Factory
+
+from ..messages.vocabulary import Event, Vocabulary
+from ..wire.client import At, ClientConnection
+from .witness import Witness
+
+LINGER = 0.25  # seconds that a client watches its connection after the final answer
+_encode, _decode = msgspec.json.Encoder().encode, msgspec.json.Decoder(dict[str, Any]).decode
+
+
+@dataclass(slots=True)
+class Op:
+    """What one client wants, drawn ahead. Times in seconds from the start of the day unless the name says else."""
+    number: int
+    at: float
+    zone: str
+    type: str
+    effect: str
+    session: str
+    system: str
+    messages: list[dict[str, str]]
+    max_tokens: int
+    slo_us: int
+    abandon_us: int
+    tries: int
+    streamed: bool
+    node_draw: float                 # which of the zone's nodes
+    leave_after_s: float = 0.0       # goes so long after the first piece of text; 0: stays
+    backoff_s: float = 0.1
+    customer_key: str = ""
+    key: str = ""                    # marks repeats of a tokened operation
+
+
+@dataclass(slots=True)
+class NodeSeat:
+    """A node as the front layer sees it."""
+    name: str
+    zone: str
+    host: str
+    port: int
+    dead_since: float = -1.0         # on the reactor's clock; below 0: it answers
+
+
+class Front:
+    """Spreads clients over the nodes of their zone; goes on naming a dead one for ``notice_s``."""
+
+    def __init__(self, reactor: IReactorTCP, seats: list[NodeSeat], notice_s: float) -> None:
+        self.reactor, self.seats, self.notice_s = reactor, seats, notice_s
+
+    def choose(self, zone: str, draw: float, turn: int) -> NodeSeat:
+        now = self.reactor.seconds()
+        good = [s for s in self.seats if s.dead_since < 0 or now - s.dead_since < self.notice_s] or self.seats
+        near = [s for s in good if s.zone == zone] or good
+        return near[(int(draw * 1_000_000) + turn) % len(near)]
+
+
+class _Watched(ClientConnection):
+    """Tells of bytes that come when none are owed."""
+
+    unasked: Callable[[int], None] = staticmethod(lambda count: None)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.state is At.IDLE:
+            self.unasked(len(data))
+        super().dataReceived(data)
+
+
+@dataclass(slots=True, eq=False)
+class Try:
+    """One try of an operation: an ``Exchange`` of the client's connection."""
+    clients: Clients
+    op: Op
+    number: int
+    seat: NodeSeat
+    connection: _Watched | None = None
+    status: int = 0
+    collected: bytes = b""
+    rest: bytes = b""
+    event: str = ""
+    text: list[str] = field(default_factory=list)
+    final: str = ""
+    over: bool = False
+    give_up: IDelayedCall | None = None
+    leave: IDelayedCall | None = None
+    after: bool = False              # something came after the final answer
+
+    @property
+    def ref(self) -> str:
+        return f"op{self.op.number}.{self.number}"
+
+    # Exchange
+
+    def head(self, status: int) -> None:
+        self.status = status
+
+    def body(self, data: bytes) -> None:
+        if self.final:
+            return self._extra(len(data))
+        if self.status != 200 or not self.op.streamed:
+            self.collected += data
+            return
+        lines = (self.rest + data).split(b"\n")
+        self.rest = lines.pop()
+        for line in lines:
+            if line.startswith(b"event:"):
+                self.event = line[6:].strip().decode()
+            elif line.startswith(b"data:"):
+                if self.final:
+                    self._extra(len(line))
+                else:
+                    self._said(_decode(line[5:]))
+
+    def complete(self) -> None:
+        if self.final:
+            return
+        if self.status == 200 and not self.op.streamed:
+            self._whole()
+        elif self.status == 200:
+            self._over("lost")  # the stream ended without its final event
+        else:
+            self._refused()
+
+    def lost(self, reason: str, malformed: bool) -> None:
+        if not self.over:
+            self._over("malformed" if malformed else "lost")
+
+    # What it means
+
+    def _said(self, body: dict[str, Any]) -> None:
+        words = self.clients.words
+        if self.event == words[Event.TEXT]:
+            if not self.text:
+                self._first()
+            self.text.append(body["delta"]["text"])
+        elif self.event == words[Event.GENERATED]:
+            self._answered("generated")
+        elif self.event == words[Event.FAILED]:
+            self._answered(body["error"]["kind"], body["error"].get("retry_after_ms", 0))
+
+    def _first(self) -> None:
+        self.clients.witness.note("first", ref=self.ref)
+        if self.give_up and self.give_up.active() and self.op.streamed:
+            self.give_up.cancel()
+        if self.op.leave_after_s:
+            self.leave = self.clients.reactor.callLater(self.op.leave_after_s, self._leave)
+
+    def _whole(self) -> None:
+        body = _decode(self.collected)
+        self.text = [body["content"][0]["text"]]
+        self._first()
+        self._answered("generated")
+
+    def _refused(self) -> None:
+        try:
+            error = _decode(self.collected)["error"]
+        except (msgspec.DecodeError, KeyError):
+            return self._over("malformed")
+        self._answered(error["kind"], error.get("retry_after_ms", 0))
+
+    def _answered(self, kind: str, come_back_ms: float = 0) -> None:
+        self.final = kind
+        words = "".join(self.text).split()
+        whole = words == [f"w{n}" for n in range(1, len(words) + 1)]
+        self.clients.witness.note("answered", ref=self.ref, kind=kind, status=self.status, in_order=whole,
+                                  words=len(words), come_back_us=round(come_back_ms * 1000))
+        self._finish()
+        self.clients.reactor.callLater(LINGER, self._close)
+        self.clients.next_try(self, kind, come_back_ms / 1000)
+
+    def _extra(self, count: int) -> None:
+        if not self.after:
+            self.after = True
+            self.clients.witness.note("extra", ref=self.ref, bytes=count)
+
+    def _over(self, how: str) -> None:
+        """It ended without a final answer."""
+        self.clients.witness.note(how, ref=self.ref)
+        self._finish()
+        self._close()
+        self.clients.next_try(self, how, 0)
+
+    def _leave(self) -> None:
+        if not self.over:
+            self.clients.witness.note("left", ref=self.ref)
+            self._finish()
+            self._close()
+            self.clients.next_try(self, "left", 0)
+
+    def _gave_up(self) -> None:
+        """Its time is up and nothing has come."""
+        if not self.over:
+            self._over("gave_up")
+
+    def _finish(self) -> None:
+        self.over = True
+        for timer in (self.give_up, self.leave):
+            if timer and timer.active():
+                timer.cancel()
+
+    def _close(self) -> None:
+        if self.connection:
+            self.connection.unasked = lambda count: None
+            self.connection.drop()
+
+
+class Clients:
+    """All clients of a day.
+
+    Args:
+        slack_us: how long after its abandon time a client still looks for its answer, so that a late one is seen.
+    """
+
+    def __init__(self, reactor: IReactorTCP, front: Front, witness: Witness, slack_us: int,
+                 words: Vocabulary | None = None) -> None:
+        self.reactor, self.front, self.witness, self.slack_us = reactor, front, witness, slack_us
+        self.words = words or Vocabulary()
+        self.open = 0       # operations that are not over
+        self.arrived = 0
+
+    def arrive(self, op: Op) -> None:
+        """An operation's first try, now."""
+        self.arrived += 1
+        self.open += 1
+        self._try(op, 0)
+
+    def next_try(self, done: Try, how: str, come_back: float) -> None:
+        """Whether a client comes again after a try ended that way, and when."""
+        op = done.op
+        harmless = how in ("rejected", "unreachable")
+        # A once-only operation is tried again only when it is known not to have run.
+        again = harmless or how in ("aborted", "lost", "left") and op.effect != "once-only"
+        if not again or done.number + 1 >= op.tries or op.leave_after_s and how == "left" and op.effect == "tokened":
+            self.open -= 1
+            return
+        self.reactor.callLater(max(come_back, op.backoff_s), self._try, op, done.number + 1)
+
+    def _try(self, op: Op, number: int) -> None:
+        seat = self.front.choose(op.zone, op.node_draw, number)
+        one = Try(self, op, number, seat)
+        factory = Factory.forProtocol(lambda: _Watched(f"{seat.host}:{seat.port}", lambda c: None, lambda c: None))
+        factory.noisy = False
+        endpoint = TCP4ClientEndpoint(self.reactor, seat.host, seat.port, timeout=0.5)
+        endpoint.connect(factory).addCallbacks(lambda c: self._connected(one, c),
+                                               lambda failure: self._unreachable(one))
+
+    def _unreachable(self, one: Try) -> None:
+        if one.seat.dead_since < 0:
+            one.seat.dead_since = self.reactor.seconds()
+        self.witness.note("unreachable", ref=one.ref, node=one.seat.name)
+        self.next_try(one, "unreachable", 0)
+
+    def _connected(self, one: Try, connection: _Watched) -> None:
+        op = one.op
+        one.connection, connection.unasked = connection, one._extra
+        one.seat.dead_since = -1.0
+        last = op.messages[-1]
+        messages = [*op.messages[:-1], {"role": "user", "content": f"{last['content']} [ref {one.ref}]"}]
+        body = {"model": op.type, "max_tokens": op.max_tokens, "stream": op.streamed, "system": op.system,
+                "messages": messages, "metadata": {"session_id": op.session}}
+        headers = [("x-abandon-after-ms", f"{op.abandon_us / 1000:g}")]
+        if op.customer_key:
+            headers.append(("x-api-key", op.customer_key))
+        if op.key:
+            headers.append(("idempotency-key", op.key))
+        self.witness.note("asked", ref=one.ref, op=op.number, node=one.seat.name, type=op.type, effect=op.effect,
+                          abandon_us=op.abandon_us, slo_us=op.slo_us, streamed=op.streamed, key=op.key)
+        one.give_up = self.reactor.callLater((op.abandon_us + self.slack_us) / 1e6, one._gave_up)
+        if not connection.ask("POST", "/v1/messages", headers, _encode(body), one):
+            one._over("lost")
