--- a/aniserudder/core/router.py
+++ b/aniserudder/core/router.py
@@ -215,11 +215,10 @@
         elif outcome is Outcome.NO_STATE:
             flight.held = None
         if outcome is Outcome.GENERATED:
-            flight.usage, flight.stop_reason = usage, reason
-        else:
+            flight.usage, flight.stop_reason, flight.why = usage, reason, ""
+        elif outcome is not Outcome.READ:
             flight.why = f"{outcome.value}{': ' + reason if reason else ''}"
-            level = "info" if outcome is Outcome.READ else "warning"
-            self.log("attempt ended", level=level, seq=flight.id, state=flight.state.value, engine=attempt.engine,
+            self.log("attempt ended", level="warning", seq=flight.id, state=flight.state.value, engine=attempt.engine,
                      ordinal=attempt.ordinal, reason=flight.why)
         heard = Report(now, {f: report[f] for f in self.fields if f in report}) if report and self.fields else None
         done = final or attempt.started or outcome is Outcome.GENERATED or flight.answered
--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -38,9 +38,10 @@
         if settings.record:
             path = Path(settings.record)
             path.parent.mkdir(parents=True, exist_ok=True)
-            # One file a start: a node killed leaves a torn line that nothing may be written behind.
+            # One file a start, written through at once: a killed node leaves all but perhaps a torn last line, and
+            # nothing is written behind that.
             number = next(n for n in range(1, 1_000_000) if not path.with_name(f"{path.name}.{n}").exists())
-            self._record = path.with_name(f"{path.name}.{number}").open("xb", buffering=1 << 16)
+            self._record = path.with_name(f"{path.name}.{number}").open("xb", buffering=0)
         recorder = Record(self._record) if self._record else NoRecord()
         self.pool = EnginePool(reactor, settings.limits, settings.rules, settings.node, settings.bind, self.log)
         self.router = Router(settings.decisions_settings(), seed, self.pool, reactor, recorder, self.log, settings.node)
--- a/aniserudder/rehearsal/audit.py
+++ b/aniserudder/rehearsal/audit.py
@@ -306,7 +306,8 @@
     """Rule 3. Nothing new reaches an engine later than the grace after this node was told that it drains or is
     gone."""
     found: list[Finding] = []
-    count = exempt = 0
+    exempt = 0
+    count = sum(news[i][1] != "running" for news in record.told.values() for i in range(len(news)))
     grace = record.rule("drain_grace_ms") + record.rule("seen_slack_ms")
     for engine, attempts in record.by_engine.items():
         for attempt in attempts:
@@ -315,10 +316,7 @@
             since = None
             for at, availability, _ in news:
                 since = None if availability == "running" else at if since is None else since
-            if since is None:
-                continue
-            count += 1
-            if attempt.at > since + grace:
+            if since is not None and attempt.at > since + grace:
                 if attempt.held_back:
                     exempt += 1
                 else:
--- a/aniserudder/rehearsal/day.py
+++ b/aniserudder/rehearsal/day.py
@@ -2,9 +2,11 @@
 from __future__ import annotations
 
 from importlib import resources
+from importlib.resources.abc import Traversable
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
+import yaml
 from pydantic import Field, model_validator
 
 from ..settings import BadSettings, load, load_text
@@ -84,6 +86,7 @@
 class Day(Part):
     """The whole form."""
     about: str
+    like: str = Field("", description="a shipped day whose keys stand where this one gives none")
     seconds: Annotated[float, Field(ge=2, le=300)] = 30
     zones: Annotated[list[Name], Field(min_length=1)] = ["east", "west"]
     nodes: dict[Name, Annotated[int, Field(ge=1, le=16)]]
@@ -123,9 +126,22 @@
     Raises:
         BadSettings: there is none, or it cannot be used.
     """
-    inside = resources.files(__package__) / "days" / f"{name}.yaml"
-    if "/" not in name and inside.is_file():
-        return load_text(inside.read_text(encoding="utf-8"), f"{name}.yaml", Day)
+    if "/" not in name and _inside(name).is_file():
+        return load_text(_inside(name).read_text(encoding="utf-8"), f"{name}.yaml", Day, _like)
     if not Path(name).exists():
         raise BadSettings([f"{name}: neither a shipped day (see --list) nor a file"])
-    return load(name, Day)
+    return load(name, Day, _like)
+
+
+def _inside(name: str) -> Traversable:
+    return resources.files(__package__) / "days" / f"{name}.yaml"
+
+
+def _like(data: dict[str, Any]) -> dict[str, Any]:
+    base = data.get("like")
+    if not base:
+        return {}
+    if not isinstance(base, str) or "/" in base or not _inside(base).is_file():
+        raise BadSettings([f"like: {base!r} is no shipped day (see --list)"])
+    kept = yaml.safe_load(_inside(base).read_text(encoding="utf-8"))
+    return _like(kept) | kept
--- a/aniserudder/settings/load.py
+++ b/aniserudder/settings/load.py
@@ -1,6 +1,7 @@
 """Reads the settings form from YAML and says in one line each what is wrong: file, line, key, found, allowed."""
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -21,7 +22,8 @@
         self.problems = problems
 
 
-def load(path: str | Path, form: type[Form] = NodeSettings) -> Form:
+def load(path: str | Path, form: type[Form] = NodeSettings,
+         under: Callable[[dict[str, Any]], dict[str, Any]] | None = None) -> Form:
     """Reads a form from a file.
 
     Raises:
@@ -32,11 +34,15 @@
     except (OSError, UnicodeDecodeError) as problem:
         reason = getattr(problem, "strerror", None) or "not UTF-8 text"
         raise BadSettings([f"{path}: {reason}"]) from None
-    return load_text(text, str(path), form)
+    return load_text(text, str(path), form, under)
 
 
-def load_text(text: str, name: str, form: type[Form] = NodeSettings) -> Form:
-    """Reads a form from text; ``name`` stands for the file in messages."""
+def load_text(text: str, name: str, form: type[Form] = NodeSettings,
+              under: Callable[[dict[str, Any]], dict[str, Any]] | None = None) -> Form:
+    """Reads a form from text; ``name`` stands for the file in messages.
+
+    ``under`` is handed what was read and returns what to lay under it: keys that the text does not give itself.
+    """
     try:
         root = yaml.compose(text, Loader=yaml.SafeLoader)
         _no_key_twice(root, name)
@@ -47,6 +53,8 @@
         raise BadSettings([f"{name}:{line}: not YAML: {getattr(problem, 'problem', None) or 'cannot be read'}"]) from None
     if not isinstance(data, dict):
         raise BadSettings([f"{name}:1: found {_show(data)}, allowed: a mapping of settings"])
+    if under:
+        data = under(data) | data
     try:
         return form.model_validate(data)
     except ValidationError as wrong:
--- a/aniserudder/standins/client.py
+++ b/aniserudder/standins/client.py
@@ -18,6 +18,7 @@
 from ..wire.client import At, ClientConnection
 from .witness import Witness
 
+AWAY = 1.0     # seconds that a node is left out once the front layer has noticed that it is dead
 LINGER = 0.25  # seconds that a client watches its connection after the final answer
 _encode, _decode = msgspec.json.Encoder().encode, msgspec.json.Decoder(dict[str, Any]).decode
 
@@ -56,17 +57,26 @@
 
 
 class Front:
-    """Spreads clients over the nodes of their zone; goes on naming a dead one for ``notice_s``."""
+    """Spreads clients over the nodes of their zone; goes on naming a dead one for ``notice_s``, then leaves it out
+    for ``AWAY`` and tries it again."""
 
     def __init__(self, reactor: IReactorTCP, seats: list[NodeSeat], notice_s: float) -> None:
         self.reactor, self.seats, self.notice_s = reactor, seats, notice_s
 
     def choose(self, zone: str, draw: float, turn: int) -> NodeSeat:
-        now = self.reactor.seconds()
-        good = [s for s in self.seats if s.dead_since < 0 or now - s.dead_since < self.notice_s] or self.seats
+        good = [s for s in self.seats if not self._left_out(s)] or self.seats
         near = [s for s in good if s.zone == zone] or good
         return near[(int(draw * 1_000_000) + turn) % len(near)]
 
+    def failed(self, seat: NodeSeat) -> None:
+        """A client could not connect to it."""
+        now = self.reactor.seconds()
+        if seat.dead_since < 0 or now - seat.dead_since >= self.notice_s + AWAY:
+            seat.dead_since = now
+
+    def _left_out(self, seat: NodeSeat) -> bool:
+        return seat.dead_since >= 0 and self.notice_s <= self.reactor.seconds() - seat.dead_since < self.notice_s + AWAY
+
 
 class _Watched(ClientConnection):
     """Tells of bytes that come when none are owed."""
@@ -258,8 +268,7 @@
                                                lambda failure: self._unreachable(one))
 
     def _unreachable(self, one: Try) -> None:
-        if one.seat.dead_since < 0:
-            one.seat.dead_since = self.reactor.seconds()
+        self.front.failed(one.seat)
         self.witness.note("unreachable", ref=one.ref, node=one.seat.name)
         self.next_try(one, "unreachable", 0)
 
