measure overhead, stand-ins by themselves, releases witnessed at deaf engines

Change: measure overhead (open loop, HdrHistogram, three processes), standin engine and standin roster. The finding was the audit's: a reader that spoke noise for 2 s was asked four times to let go and could not answer; the stand-in now witnesses the asking.

--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -159,3 +159,72 @@
     report.show(verdict, Console(width=118))
     click.echo(report.last_line(verdict))
     sys.exit(1 if verdict.broken else 0)
+
+
+@main.group()
+def measure() -> None:
+    """Measure what the program costs, on this machine's loopback."""
+
+
+@measure.command("overhead")
+@click.option("--rate", default=160.0, show_default=True, help="Sequences a second on each path.")
+@click.option("--seconds", default=10.0, show_default=True, type=click.FloatRange(1, 300))
+@click.option("--tokens", default=16, show_default=True, type=click.IntRange(1, 1000), help="Most tokens of an answer.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--profile", type=click.Path(dir_okay=False), help="Also write the node's cProfile figures there.")
+def measure_overhead(rate: float, seconds: float, tokens: int, seed: int, profile: str | None) -> None:
+    """The same load straight at a stand-in engine and through one node, side by side."""
+    from rich.console import Console
+    from rich.table import Table
+
+    from ..measure.overhead import overhead
+    got = overhead(rate, seconds, tokens, seed, profile or "")
+    table = Table(title=f"{rate:g} sequences a second for {seconds:g} s on each path, at most {tokens} tokens",
+                  title_justify="left")
+    for column in ("path", "done", "failed", "first: median ms", "99th", "99.9th", "whole: median ms", "99th"):
+        table.add_column(column, justify="left" if column == "path" else "right")
+    for path in (got.direct, got.routed):
+        marks = [path.first.get_value_at_percentile(p) / 1000 for p in (50, 99, 99.9)]
+        marks += [path.whole.get_value_at_percentile(p) / 1000 for p in (50, 99)]
+        table.add_row(path.name, str(path.done), str(path.failed), *(f"{m:.2f}" for m in marks))
+    Console(width=118).print(table)
+    click.echo(f"added to the first event: median {got.added(50):.2f} ms, 99th {got.added(99):.2f} ms; "
+               f"{got.routed.done / got.took:.1f} sequences a second through the node; "
+               f"CPU of the node {got.cpu_us:.0f} us a sequence, "
+               f"{got.cpu_us * got.routed.done / got.took / 1e4:.0f} % of one core")
+    sys.exit(1 if got.routed.failed or got.direct.failed else 0)
+
+
+@main.group()
+def standin() -> None:
+    """Run a stand-in engine or roster server by itself."""
+
+
+@standin.command("engine")
+@click.option("--name", default="standin-1", show_default=True)
+@click.option("--role", type=click.Choice(["reader", "writer", "mixed"]), default="mixed", show_default=True)
+@click.option("--port", default=0, help="0: any; it is printed.")
+@click.option("--slots", default=32, show_default=True, type=click.IntRange(1))
+@click.option("--queue", default=32, show_default=True, type=click.IntRange(0))
+@click.option("--memory", default=200_000, show_default=True, type=click.IntRange(1000), help="Tokens.")
+@click.option("--read-per-s", default=20_000.0, show_default=True, type=click.FloatRange(1), help="Prompt tokens.")
+@click.option("--step-ms", default=20.0, show_default=True, type=click.FloatRange(0.1), help="For one token of each.")
+@click.option("--fault", type=click.Choice(["stall", "reset before", "reset after", "half line", "long line", "noise",
+                                            "draining"]), help="What is wrong with it from the start.")
+@click.option("--quiet", is_flag=True, help="Do not print what it sees.")
+def standin_engine(name: str, role: str, port: int, slots: int, queue: int, memory: int, read_per_s: float,
+                   step_ms: float, fault: str | None, quiet: bool) -> None:
+    """Run one stand-in engine until a signal; prints what it sees as lines of JSON."""
+    from ..standins.alone import engine
+    from ..standins.engine import EngineSpec
+    sys.exit(engine(EngineSpec(name, role, role, "any", 0, slots, queue, memory, read_per_s, step_ms), port, fault or "",
+                    quiet))
+
+
+@standin.command("roster")
+@click.argument("rows", type=click.Path(dir_okay=False))
+@click.option("--port", default=0, help="0: any; it is printed.")
+def standin_roster(rows: str, port: int) -> None:
+    """Serve the engine list in the YAML file ROWS; changes of the file are streamed to the nodes."""
+    from ..standins.alone import roster
+    sys.exit(roster(rows, port))
--- /dev/null
+++ b/aniserudder/measure/__init__.py
@@ -0,0 +1,1 @@
+"""What the program costs: measured as commands, not in CI."""
--- a/aniserudder/rehearsal/audit.py
+++ b/aniserudder/rehearsal/audit.py
@@ -136,8 +136,8 @@
                         known.repeats += what == "repeat"
                 case "held":
                     self.holds.append(line)
-                case "taken" | "let_go" | "expired" | "lost_state":
-                    self.hold_ends[line["block"]] = line
+                case "taken" | "let_go" | "let_go_asked" | "expired" | "lost_state":
+                    self.hold_ends.setdefault(line["block"], line)  # a node is done when it has asked
                 case "told":
                     self.told[line["node"], line["engine"]].append((at, line["availability"], line["started_at"]))
                 case "told_all":
