llhttp reads HTTP in place of h11; loads measured from processes of their own

Change: httptools (llhttp) parses on both sides, heads and chunks are written by wire/text.py; each load has its own process. A connection that closes with bytes waiting is cut off after a request's time.

--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -183,15 +183,15 @@
                   title_justify="left")
     for column in ("path", "done", "failed", "first: median ms", "99th", "99.9th", "whole: median ms", "99th"):
         table.add_column(column, justify="left" if column == "path" else "right")
-    for path in (got.direct, got.routed):
+    for name, path in (("direct", got.direct), ("routed", got.routed)):
         marks = [path.first.get_value_at_percentile(p) / 1000 for p in (50, 99, 99.9)]
         marks += [path.whole.get_value_at_percentile(p) / 1000 for p in (50, 99)]
-        table.add_row(path.name, str(path.done), str(path.failed), *(f"{m:.2f}" for m in marks))
+        table.add_row(name, str(path.done), str(path.failed), *(f"{m:.2f}" for m in marks))
     Console(width=118).print(table)
     click.echo(f"added to the first event: median {got.added(50):.2f} ms, 99th {got.added(99):.2f} ms; "
-               f"{got.routed.done / got.took:.1f} sequences a second through the node; "
+               f"{got.routed.done / got.routed.took:.1f} sequences a second through the node; "
                f"CPU of the node {got.cpu_us:.0f} us a sequence, "
-               f"{got.cpu_us * got.routed.done / got.took / 1e4:.0f} % of one core")
+               f"{got.cpu_us * got.routed.done / got.routed.took / 1e4:.0f} % of one core")
     sys.exit(1 if got.routed.failed or got.direct.failed else 0)
 
 
--- a/aniserudder/rehearsal/stage.py
+++ b/aniserudder/rehearsal/stage.py
@@ -29,6 +29,7 @@
 from ..standins.engine import Repeats, StandinEngine
 from ..standins.roster import StandinRoster
 from ..standins.witness import Witness
+from ..wire.text import free_port
 from .day import Day
 from .plan import Plan, Strike
 
@@ -93,7 +94,7 @@
         rows = [Row(engine=s.name, address="127.0.0.1:1", kind=s.kind, zone=s.zone, rack=s.rack) for s in plan.engines]
         self.roster = StandinRoster(reactor, rows, self.witness,
                                     lambda engine, node: self.engines[engine].address(plan.nodes.get(node, "")))
-        self.seats = [NodeSeat(n, z, "127.0.0.1", _free_port()) for n, z in plan.nodes.items()]
+        self.seats = [NodeSeat(n, z, "127.0.0.1", free_port()) for n, z in plan.nodes.items()]
         self.front = Front(reactor, self.seats, day.traffic.front_notice_ms / 1000)
         slack = round((rules.answer_slack_ms + rules.seen_slack_ms) * 1000) + 200_000
         self.clients = Clients(reactor, self.front, self.witness, slack, Vocabulary(day.event_names))
@@ -355,12 +356,6 @@
         self.reactor.callLater(seconds, heal)
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def _listens(seat: NodeSeat) -> bool:
     with socket.socket() as probe:
         probe.settimeout(0.05)
--- a/aniserudder/wire/client.py
+++ b/aniserudder/wire/client.py
@@ -1,4 +1,4 @@
-"""One persistent HTTP/1.1 connection as a client. h11 knows the protocol, this file the socket.
+"""One persistent HTTP/1.1 connection as a client. llhttp reads the protocol, this file has the socket.
 
 A connection carries one exchange at a time. Its states are named, and every change goes through ``_change``.
 """
@@ -8,10 +8,14 @@
 from enum import Enum
 from typing import Protocol as Shape
 
-import h11
+import httptools
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from . import text
+
+HEAD_MOST = 65_536  # bytes of an answer's head
+
 
 class At(Enum):
     """States of a connection."""
@@ -43,8 +47,12 @@
         self.host, self.state = host, At.IDLE
         self.place: object = None  # whose connection it is; set by its owner
         self._on_free, self._on_gone = on_free, on_gone
-        self._http = h11.Connection(h11.CLIENT)
+        self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
+        self._head_bytes = -1      # of a head that is being read; -1: none is
+        self._measured = False     # the answer's length is told by its head
+        self._status = 0
+        self._spoke_unasked = False
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -53,12 +61,9 @@
         """Writes a request. False: the connection was no longer open and no byte was written."""
         if self.state is not At.IDLE or not self.transport.connected or self.transport.disconnecting:
             return False
-        self._exchange = exchange
+        self._exchange, self._head_bytes = exchange, 0
         self._change(At.BUSY)
-        head = h11.Request(method=method, target=path, headers=[
-            ("host", self.host), *headers, ("content-type", "application/json"), ("content-length", str(len(body)))])
-        self.transport.write(self._http.send(head) + (self._http.send(h11.Data(data=body)) if body else b"")
-                             + self._http.send(h11.EndOfMessage()))
+        self.transport.write(text.request(method, path, self.host, headers, body))
         return True
 
     def drop(self) -> None:
@@ -68,54 +73,67 @@
             self._change(At.CLOSED)
             self.transport.abortConnection()
 
+    # The socket.
+
     def dataReceived(self, data: bytes) -> None:
         if self.state is At.CLOSED:
             return
         if self.state is At.IDLE:  # a server that speaks unasked is not to be trusted with the next answer
             return self.drop()
         try:
-            self._http.receive_data(data)
-            self._advance()
-        except h11.RemoteProtocolError as wrong:
-            self._broke(f"no HTTP: {wrong}", True)
-
-    def _advance(self) -> None:
-        while self.state is At.BUSY:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            exchange = self._exchange
-            match event:
-                case h11.Response():
-                    exchange.head(event.status_code)
-                case h11.Data():
-                    exchange.body(bytes(event.data))
-                case h11.EndOfMessage():
-                    self._exchange = None
-                    reusable = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-                    if reusable:
-                        self._http.start_next_cycle()
-                        self._change(At.IDLE)
-                    exchange.complete()
-                    if reusable and self.state is At.IDLE:
-                        self._on_free(self)
-                    elif not reusable:
-                        self.drop()
-                case h11.ConnectionClosed():
-                    return
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as wrong:
+            return self._broke(f"no HTTP: {wrong}", True)
+        if self._head_bytes >= 0:
+            self._head_bytes += len(data)
+            if self._head_bytes > HEAD_MOST:
+                self._broke("the answer's head is too long", True)
+        if self._spoke_unasked:
+            self.drop()
 
     def connectionLost(self, reason: Failure) -> None:
-        was = self.state
-        if was is not At.CLOSED:
-            if was is At.BUSY:
-                try:  # an answer without a length ends with the connection
-                    self._http.receive_data(b"")
-                    self._advance()
-                except h11.RemoteProtocolError:
-                    pass
+        if self.state is At.BUSY and self._status and not self._measured:
+            self._complete(False)  # an answer without a length ends with the connection
+        elif self.state is not At.CLOSED:
             self._broke(f"connection lost: {reason.value.__class__.__name__}", False)
         self._on_gone(self)
 
+    # The parser.
+
+    def on_message_begin(self) -> None:
+        self._status, self._measured = 0, False
+        self._spoke_unasked = self._spoke_unasked or self._exchange is None
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() in (b"content-length", b"transfer-encoding"):
+            self._measured = True
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status >= 200 and self._exchange:
+            self._head_bytes, self._status = -1, status
+            self._exchange.head(status)
+
+    def on_body(self, data: bytes) -> None:
+        if self._exchange:
+            self._exchange.body(data)
+
+    def on_message_complete(self) -> None:
+        if self._status and self._exchange:
+            self._complete(self._parser.should_keep_alive())
+
+    # Ends.
+
+    def _complete(self, reusable: bool) -> None:
+        exchange, self._exchange = self._exchange, None
+        if self.state is At.BUSY:
+            self._change(At.IDLE if reusable else At.CLOSED)
+        exchange.complete()
+        if self.state is At.IDLE:
+            self._on_free(self)
+        elif self.transport.connected:
+            self.transport.loseConnection()
+
     def _broke(self, reason: str, malformed: bool) -> None:
         exchange, self._exchange = self._exchange, None
         if self.state is not At.CLOSED:
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -5,17 +5,21 @@
 """
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from http import HTTPStatus
 
-import h11
+import httptools
 from twisted.internet.interfaces import IDelayedCall, IPushProducer, IReactorTime
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from . import text
+
+AHEAD = 4  # whole requests that a client may send before it is answered
+
 
 class At(Enum):
     """States of a connection."""
@@ -42,12 +46,13 @@
     ``Bounds.waiting`` bytes wait for it.
     """
 
-    __slots__ = ("method", "path", "headers", "body", "gone", "began", "_connection")
+    __slots__ = ("method", "path", "headers", "body", "gone", "began", "old", "last", "_connection")
 
-    def __init__(self, connection: ServerConnection, head: h11.Request) -> None:
-        self.method, self.path = head.method.decode("ascii"), head.target.decode("ascii", "replace")
-        self.headers = {k.decode("ascii"): v.decode("latin-1") for k, v in head.headers}
+    def __init__(self, connection: ServerConnection) -> None:
+        self.method = self.path = ""
+        self.headers: dict[str, str] = {}
         self.body = bytearray()
+        self.old = self.last = False  # HTTP/1.0; the client wants no further exchange
         self.gone: Callable[[str], None] | None = None
         self.began = False
         self._connection: ServerConnection | None = connection
@@ -106,7 +111,7 @@
 
 @implementer(IPushProducer)
 class ServerConnection(Protocol):
-    """Speaks HTTP/1.1 as a server and hands whole requests to ``handle``."""
+    """Speaks HTTP/1.1 as a server and hands whole requests to ``handle``, one at a time."""
 
     noisy = False
 
@@ -114,8 +119,13 @@
                  on_gone: Callable[[ServerConnection], None]) -> None:
         self.clock, self.bounds, self.handle, self.on_gone = clock, bounds, handle, on_gone
         self.state, self.closing, self.peer = At.IDLE, False, ""
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=bounds.head)
-        self._exchange: Exchange | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._exchange: Exchange | None = None        # whose answer is owed
+        self._building: Exchange | None = None        # whose request is being read
+        self._whole: deque[Exchange] = deque()        # read while an answer was owed
+        self._wrong: tuple[int, str] | None = None    # why the request being read cannot be taken
+        self._head_bytes = 0
+        self._chunked = self._bodiless = False
         self._timer: IDelayedCall | None = None
         self._waiting: list[bytes] = []
         self._waits = 0
@@ -134,14 +144,25 @@
             return
         if self.state is At.IDLE:
             self._change(At.READING)
+        if self._building is None or not self._building.method:
+            self._head_bytes += len(data)
         try:
-            self._http.receive_data(data)
-            self._advance()
-        except h11.RemoteProtocolError as wrong:
-            self._refuse(wrong.error_status_hint, str(wrong))
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._wrong = self._wrong or (400, "no upgrade is offered")
+        except httptools.HttpParserError as wrong:
+            self._wrong = self._wrong or (400, f"no HTTP: {wrong}")
+        if self._head_bytes > self.bounds.head:
+            self._wrong = self._wrong or (431, f"more than {self.bounds.head} bytes of headers")
+        if self._wrong:
+            return self._refuse(*self._wrong)
+        if self.state is At.READING and self._whole:
+            self._take()
 
     def connectionLost(self, reason: Failure) -> None:
         self._end("the client left")
+        if self._timer and self._timer.active():
+            self._timer.cancel()
         self.on_gone(self)
 
     def pauseProducing(self) -> None:
@@ -158,76 +179,90 @@
     def stopProducing(self) -> None:
         pass
 
-    # Requests.
-
-    def _advance(self) -> None:
-        while self.state is At.READING:
-            event = self._http.next_event()
-            match event:
-                case h11.Request():
-                    self._exchange = Exchange(self, event)
-                    if int(self._exchange.headers.get("content-length") or 0) > self.bounds.body:
-                        return self._refuse(413, f"more than {self.bounds.body} bytes of body")
-                    if self._http.they_are_waiting_for_100_continue:
-                        self.transport.write(self._http.send(h11.InformationalResponse(status_code=100, headers=[])))
-                case h11.Data():
-                    self._exchange.body += event.data
-                    if len(self._exchange.body) > self.bounds.body:
-                        return self._refuse(413, f"more than {self.bounds.body} bytes of body")
-                case h11.EndOfMessage():
-                    self._change(At.BUSY)
-                    self.handle(self._exchange)
-                case h11.ConnectionClosed():
-                    return self._close()
-                case _:  # more data is needed
-                    return
+    # The parser.
+
+    def on_message_begin(self) -> None:
+        self._building = Exchange(self)
+
+    def on_url(self, url: bytes) -> None:
+        self._building.path += url.decode("latin-1")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._building.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        building, self._head_bytes = self._building, 0
+        building.method = self._parser.get_method().decode("ascii")
+        building.old = self._parser.get_http_version() == "1.0"
+        told = building.headers.get("content-length", "")
+        if told.isdigit() and int(told) > self.bounds.body:
+            self._wrong = (413, f"more than {self.bounds.body} bytes of body")
+        elif building.headers.get("expect", "").lower() == "100-continue" and self.state is At.READING:
+            self.transport.write(text.CONTINUE)
+
+    def on_body(self, data: bytes) -> None:
+        self._building.body += data
+        if len(self._building.body) > self.bounds.body:
+            self._wrong = self._wrong or (413, f"more than {self.bounds.body} bytes of body")
+
+    def on_message_complete(self) -> None:
+        building, self._building = self._building, None
+        building.last = not self._parser.should_keep_alive()
+        self._whole.append(building)
+        if len(self._whole) > AHEAD:
+            self._wrong = (429, f"more than {AHEAD} requests ahead of their answers")
+
+    def _take(self) -> None:
+        self._exchange = self._whole.popleft()
+        self.closing = self.closing or self._exchange.last
+        self._change(At.BUSY)
+        self.handle(self._exchange)
 
     def _refuse(self, status: int, reason: str) -> None:
         """An answer to what is no proper request, and the end of the connection."""
-        if self.state is At.BUSY or self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return self.abort()
-        if self._exchange:
-            self._exchange._connection = None
-            self._exchange = None
-        text = reason.replace("\\", "'").replace('"', "'")[:200]
-        body = b'{"error":{"kind":"bad_request","message":"%s"}}' % text.encode("ascii", "replace")
-        try:
-            self.head(status, [("content-type", "application/json"), ("content-length", str(len(body))),
-                               ("connection", "close")])
-            self.data(body)
-        except h11.LocalProtocolError:
+        if self.state is At.BUSY:  # what is owed goes first, and then there is no telling what was asked
             return self.abort()
+        self._exchange, self._building, self.closing = None, None, True
+        plain = reason.replace("\\", "'").replace('"', "'")[:200].encode("ascii", "replace")
+        body = b'{"type":"error","error":{"kind":"bad_request","message":"%b"}}' % plain
+        self.head(status, [("content-type", "application/json"), ("content-length", str(len(body)))])
+        self.data(body)
         self._close()
 
     # Answers.
 
     def head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self._chunked = all(name != "content-length" for name, _ in headers)
+        self._bodiless = False
+        if self._exchange:
+            self._bodiless = self._exchange.method == "HEAD"
+            if self._exchange.old:  # such a client knows no chunks: the connection's end is the answer's
+                self._chunked, self.closing = False, True
+        if self._chunked:
+            headers = [*headers, ("transfer-encoding", "chunked")]
         if self.closing:
             headers = [*headers, ("connection", "close")]
-        reason = HTTPStatus(status).phrase if status in HTTPStatus._value2member_map_ else ""
-        self._write(self._http.send(h11.Response(status_code=status, headers=headers, reason=reason)))
+        self._write(text.response(status, headers))
 
     def data(self, data: bytes) -> None:
-        self._write(self._http.send(h11.Data(data=data)))
+        if data and not self._bodiless:
+            self._write(text.chunk(data) if self._chunked else data)
 
     def finished(self) -> None:
         self._exchange = None
-        self._write(self._http.send(h11.EndOfMessage()))
+        if self._chunked and not self._bodiless:
+            self._write(text.LAST_CHUNK)
         if self.state is At.CLOSED:
             return
-        if self.closing or self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+        if self.closing:
             return self._close()
-        self._http.start_next_cycle()
-        self._change(At.IDLE)
-        if self._http.trailing_data[0]:  # the next request is here already
-            self._change(At.READING)
-            self.clock.callLater(0, self._go_on)
+        self._change(At.READING if self._building or self._whole else At.IDLE)
+        if self._whole:  # the next request is here already
+            self.clock.callLater(0, self._next)
 
-    def _go_on(self) -> None:
-        try:
-            self._advance()
-        except h11.RemoteProtocolError as wrong:
-            self._refuse(wrong.error_status_hint, str(wrong))
+    def _next(self) -> None:
+        if self.state is At.READING and self._whole:
+            self._take()
 
     def _write(self, data: bytes) -> None:
         if not self._paused:
@@ -251,8 +286,9 @@
         self.transport.abortConnection()
 
     def _close(self) -> None:
-        """Closes in good order: what is written gets out first."""
+        """Closes in good order: what is written gets out first, if the client takes it within a request's time."""
         self._end("closed")
+        self._timer = self.clock.callLater(self.bounds.request_s, self.transport.abortConnection)
         if not self._waiting:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
