A stopping node tells who comes; the witness notes its own lateness

Need: under six rehearsals at once two rules were called broken: clients that had just connected to a stopping node were reset, and states looked pinned while the witness itself was too busy to look.

--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -17,6 +17,8 @@
 
 RELEASE_WAIT = 2.0  # seconds that a stopping node waits for its last letting go to be delivered
 TAKEN_UP = 0.05     # seconds between looks at what is still on its way
+# A client that has just connected would be reset without a word if the listener closed at once: it is told instead.
+LAST_WORDS = 0.25   # seconds that a stopping node still accepts, to say that it is stopping
 
 
 class RunningNode:
@@ -74,9 +76,9 @@
             return self._stopping
         done = self._stopping = Deferred()
         self.log("stopping", level="info", reason=f"{len(self.router.flights)} sequences are here")
-        if self._port:
-            self._port.stopListening()
         self.messages.stop()
+        closed: Deferred[None] = Deferred()
+        self.reactor.callLater(LAST_WORDS, self._close_door, closed)
         # Started streams have no abandon time: they get as long as the settings say, then an honest end.
         timer = self.reactor.callLater(self.settings.limits.stop_ms / 1000, self.router.give_up_all,
                                        "the node is stopping")
@@ -84,12 +86,18 @@
         def answered() -> None:
             if timer.active():
                 timer.cancel()
-            self._deliver(self.reactor.seconds() + RELEASE_WAIT, done)
+            closed.addCallback(lambda _: self._deliver(self.reactor.seconds() + RELEASE_WAIT, done))
 
         self.router.on_quiet = answered
         self.router.tell(lambda: None)  # quiet already, perhaps
         return done
 
+    def _close_door(self, closed: Deferred[None]) -> None:
+        if self._port:
+            self._port.stopListening()
+        self.messages.factory.stop()
+        closed.callback(None)
+
     def _deliver(self, until: float, done: Deferred[None]) -> None:
         """Waits for the last releases and the last bytes to clients."""
         if (self.pool.letting_go or self.messages.factory.connections) and self.reactor.seconds() < until:
--- a/aniserudder/messages/server.py
+++ b/aniserudder/messages/server.py
@@ -97,9 +97,9 @@
         self._count = 0
 
     def stop(self) -> None:
-        """Takes no new sequence; those taken are answered."""
+        """Takes no new sequence; those taken are answered, and whoever comes is told."""
         self.stopping = True
-        self.factory.stop()
+        self.factory.last_answers()
 
     def _asked(self, exchange: Exchange) -> None:
         path = exchange.path.partition("?")[0]
--- a/aniserudder/rehearsal/stage.py
+++ b/aniserudder/rehearsal/stage.py
@@ -174,6 +174,7 @@
 
     def _begin(self, done: Deferred[Ran]) -> None:
         self.witness.note("begun")
+        self.witness.watch_itself()
         for op in self.plan.ops:
             self.reactor.callLater(op.at, self.clients.arrive, op)
         for strike in self.plan.strikes:
--- a/aniserudder/standins/witness.py
+++ b/aniserudder/standins/witness.py
@@ -11,6 +11,10 @@
 from twisted.internet.interfaces import IReactorTime
 
 
+LOOK_EVERY = 0.02  # seconds between looks at whether this process itself is late
+LATE = 0.02        # seconds of lateness that are worth a line
+
+
 class Witness:
     """One record. Kept in memory, and written on at once where a file is given."""
 
@@ -28,3 +32,14 @@
         self.lines.append(line)
         if self.out:
             self.out.write(self._encode(line) + b"\n")
+
+    def watch_itself(self) -> None:
+        """From now on says when its own process was too busy to look: what it saw then is stamped that much late."""
+        due = self.clock.seconds() + LOOK_EVERY
+
+        def look() -> None:
+            late = self.clock.seconds() - due
+            if late > LATE:
+                self.note("stalled", us=round(late * 1_000_000))
+            self.watch_itself()
+        self.clock.callLater(LOOK_EVERY, look)
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -322,16 +322,28 @@
     def __init__(self, clock: IReactorTime, bounds: Bounds, handle: Callable[[Exchange], None]) -> None:
         self.clock, self.bounds, self.handle = clock, bounds, handle
         self.connections: dict[ServerConnection, None] = {}
+        self.closing = False
 
     def buildProtocol(self, addr: object) -> ServerConnection:
-        connection = ServerConnection(self.clock, self.bounds, self.handle, self._gone)
+        connection = self.make()
+        connection.closing = self.closing
         self.connections[connection] = None
         return connection
 
+    def make(self) -> ServerConnection:
+        return ServerConnection(self.clock, self.bounds, self.handle, self._gone)
+
     def _gone(self, connection: ServerConnection) -> None:
         self.connections.pop(connection, None)
 
+    def last_answers(self) -> None:
+        """From now on each connection closes after its next answer; none is closed for it."""
+        self.closing = True
+        for connection in self.connections:
+            connection.closing = True
+
     def stop(self) -> None:
         """Closes what is idle; busy connections close after their answer."""
+        self.closing = True
         for connection in list(self.connections):
             connection.stop()
