--- a/aniserudder/rehearsal/audit.py
+++ b/aniserudder/rehearsal/audit.py
@@ -384,8 +384,8 @@
         until = end["at"] if end else record.end
         if end and end["what"] == "lost_state":
             continue  # it went with its engine
-        if record.died(hold["node"], hold["at"]) and (one is None or not one.finals):
-            continue  # the node that held it was killed
+        if record.died(hold["node"], one.asked["at"] if one else hold["at"]) and (one is None or not one.finals):
+            continue  # the node that held it was killed, perhaps while the reader was still at it
         since, idle = hold["at"], (0, 0)
         spans = sorted((a.at, a.end if a.end >= 0 else record.end) for a in (one.attempts if one else []))
         for begin, finish in spans:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -104,6 +104,9 @@
     lines = drop("answered", "op5.0")(drop("taken", "op5.0")(drop("first", "op5.0")(day())))
     lines = add(line(3255, "node_killed", node="n1"), line(3256, "lost", ref="op5.0"))(lines)
     assert not audit(Record(lines)).findings
+    early = add(line(3240, "node_killed", node="n1"), line(3241, "lost", ref="op5.0"))(drop("attempt_end", "op5.0")(
+        drop("lost", "op5.0")([x for x in lines if x["what"] != "node_killed"])))  # killed while it was read
+    assert not audit(Record(early)).findings
 
 
 def test_a_kill_excuses_nothing_before_it():
