--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -108,6 +108,7 @@
     from rich.console import Console
 
     from ..rehearsal import audit as judge, report
+    from ..rehearsal.bills import compare
     from ..rehearsal.day import find, shipped
     from ..rehearsal.plan import draw
     from ..rehearsal.stage import run
@@ -127,7 +128,9 @@
         out = open(record, "wb") if record else None
     except OSError as problem:
         fail(f"{record}: {problem.strerror}")
-    ran = run(form, plan, seed, say, out, keep or "")
+    agreed = []
+    after = (lambda folder, ran: agreed.append(compare(folder, ran.lines))) if form.ledger else None
+    ran = run(form, plan, seed, say, out, keep or "", after)
     if out:
         out.close()
     if ran.trouble:
@@ -139,7 +142,8 @@
     click.echo(f"decision records: {ran.replayed} calls replayed, "
                + (f"UNEQUAL: {ran.unequal}" if ran.unequal else "all decided alike"))
     click.echo(report.last_line(verdict))
-    sys.exit(1 if verdict.broken or ran.trouble or ran.unequal else 0)
+    differs = bool(agreed) and report.show_bills(agreed[0], Console(width=150))
+    sys.exit(1 if verdict.broken or ran.trouble or ran.unequal or differs else 0)
 
 
 @main.command()
@@ -195,6 +199,58 @@
     sys.exit(1 if got.routed.failed or got.direct.failed else 0)
 
 
+@measure.command("budgets")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--sequences", default=20_000, show_default=True, type=click.IntRange(100))
+@click.option("--plot", "picture", type=click.Path(dir_okay=False), help="Also write a PNG there.")
+def measure_budgets(seed: int, sequences: int, picture: str | None) -> None:
+    """Overspend and false refusals of the ways in which a budget can hold over nodes (simulated time)."""
+    from rich.console import Console
+    from rich.table import Table
+
+    from ..measure.budgets import WAYS, plot, table
+    found = table(seed, sequences)
+    shown = Table(title="% of the budget: overspent / falsely refused / unused (bound on overspend)", title_justify="left")
+    shown.add_column("case")
+    for way in WAYS:
+        shown.add_column(way, justify="right")
+    for name, _, ways in found:
+        shown.add_row(name, *(f"{100 * w.overspent:.2f} / {100 * w.refused:.2f} / {100 * w.unused:.2f}"
+                              + (f" ({100 * w.bound:.1f})" if w.way == "leases" else "") for w in ways))
+    Console(width=118).print(shown)
+    if picture:
+        plot(found, picture)
+    beyond = [name for name, _, ways in found for w in ways if w.overspent > w.bound]
+    click.echo(f"bounds: {len(found) * len(WAYS) - len(beyond)} kept, {len(beyond)} exceeded")
+    sys.exit(1 if beyond else 0)
+
+
+@measure.command("ledger")
+@click.option("--sequences", default="1000,10000,50000", show_default=True, help="Lengths, by commas.")
+@click.option("--durability", type=click.Choice(["process", "power"]), default="process", show_default=True)
+def measure_ledger(sequences: str, durability: str) -> None:
+    """Appends a second, opening time, size and compaction by length; a reservation on the hot path."""
+    from rich.console import Console
+    from rich.table import Table
+
+    from ..measure.books import TENANTS, length, reservation
+    try:
+        lengths = [int(n) for n in sequences.split(",")]
+    except ValueError:
+        fail(f"--sequences: found {sequences!r}, allowed: numbers by commas")
+    shown = Table(title=f"ledger, durability {durability}", title_justify="left")
+    for name in ("sequences", "entries", "appends a second", "open ms", "check all ms", "bytes", "compact ms", "bytes after"):
+        shown.add_column(name, justify="right")
+    for n in lengths:
+        got = length(n, durability == "power")
+        shown.add_row(str(n), str(got.entries), f"{got.append_s:.0f}", f"{got.open_ms:.1f}", f"{got.check_ms:.0f}",
+                      str(got.size), f"{got.compact_ms:.0f}", str(got.compact_size))
+    Console(width=118).print(shown)
+    none, tree, written = reservation(20_000)
+    click.echo(f"a reservation and its settlement: {none:.1f} us without budgets, {tree:.1f} us among {TENANTS} tenants with six "
+               f"budgets each way up, {written:.1f} us with the six entries of a sequence written")
+
+
 @main.group()
 def standin() -> None:
     """Run a stand-in engine or roster server by itself."""
@@ -228,3 +284,77 @@
     """Serve the engine list in the YAML file ROWS; changes of the file are streamed to the nodes."""
     from ..standins.alone import roster
     sys.exit(roster(rows, port))
+
+
+@main.group()
+def ledger() -> None:
+    """Serve, check and compact ledgers."""
+
+
+@ledger.command("serve")
+@click.argument("path", type=click.Path(dir_okay=False))
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", default=8090, show_default=True)
+@click.option("--durability", type=click.Choice(["process", "power"]), default="process", show_default=True)
+def ledger_serve(path: str, host: str, port: int, durability: str) -> None:
+    """Run the ledger service on the file PATH until a signal."""
+    from twisted.internet import reactor
+    from twisted.internet.error import CannotListenError
+
+    from .. import logs
+    from ..ledger.service import LedgerService
+    from ..ledger.store import LedgerBroken, Store
+    try:
+        service = LedgerService(reactor, Store(path, durability == "power"), logs.make("ledger"))
+        service.start(host, port)
+    except LedgerBroken as broken:
+        fail(str(broken))
+    except CannotListenError as taken:
+        fail(f"{host}:{port}: {taken.socketError.strerror}")
+    reactor.run()
+    service.stop()
+
+
+@ledger.command("check")
+@click.argument("path", type=click.Path(dir_okay=False))
+def ledger_check(path: str) -> None:
+    """Go over all of a ledger's checksums; exit 1 if it does not add up."""
+    from ..ledger.store import LedgerBroken, Store
+    if not Path(path).exists():
+        fail(f"{path}: No such file or directory")
+    try:
+        done = Store(path).verify()
+    except LedgerBroken as broken:
+        click.echo(str(broken), err=True)
+        sys.exit(1)
+    click.echo(f"{path}: {done.rows} entries, {done.first} to {done.last}, add up; {done.pending} attempts are not told")
+
+
+@ledger.command("compact")
+@click.argument("path", type=click.Path(dir_okay=False))
+@click.option("--older-than-s", default=86400.0, show_default=True, help="Fold operations that ended before that.")
+@click.option("--node", default="", help="PATH is the ledger of this node: nothing that is not shipped goes.")
+def ledger_compact(path: str, older_than_s: float, node: str) -> None:
+    """Fold operations that are over into one row each. Not while a node or service has the file open."""
+    import time
+
+    from ..ledger.store import LedgerBroken, LedgerFull, Store
+    if not Path(path).exists():
+        fail(f"{path}: No such file or directory")
+    try:
+        rows, folded = Store(path).compact(round((time.time() - older_than_s) * 1e6), 10_000_000, node)
+    except (LedgerBroken, LedgerFull) as broken:
+        fail(str(broken))
+    click.echo(f"{path}: {folded} operations folded, {rows} entries fewer")
+
+
+@main.command()
+@click.option("--period", required=True, help="A day, month or year in UTC: 2026-12-01, 2026-12, 2026.")
+@click.option("--settings", "file", type=click.Path(dir_okay=False), help="Prices, and the ledger if none is named.")
+@click.option("--ledger", "path", type=click.Path(dir_okay=False), help="The ledger service's file, or a node's.")
+@click.option("--tenant", help="This tenant and all under it.")
+@click.option("--format", "form", type=click.Choice(["table", "csv", "json"]), default="table", show_default=True)
+def bills(period: str, file: str | None, path: str | None, tenant: str | None, form: str) -> None:
+    """Print the bills of a period: by tenant and traffic type, tokens that were charged, lost and repeated."""
+    from ..cli.bills import show
+    show(period, file, path, tenant, form, fail)
--- a/aniserudder/core/ports.py
+++ b/aniserudder/core/ports.py
@@ -16,13 +16,15 @@
     """What a client asked, as the engines need it.
 
     ``body`` holds the engine's part of the request (messages, limits), ``whole`` says that the client reads
-    nothing before the answer is complete, ``token`` marks repeats of a tokened sequence.
+    nothing before the answer is complete, ``token`` marks repeats of a tokened sequence for engines, ``mark`` is what
+    the client itself calls the operation: its tries share it.
     """
     prompt: Prompt
     body: dict[str, Any]
     whole: bool = False
     token: str = ""
     model: str = ""
+    mark: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -11,10 +11,15 @@
 from .. import logs
 from ..core import NoRecord, Record, Router
 from ..engines import EnginePool
+from ..ledger.books import Books, MeteredEngines, Rules
+from ..ledger.store import LedgerBroken, Store
 from ..messages import Messages
 from ..roster import follow
-from ..settings import NodeSettings
+from ..settings import BadSettings, NodeSettings, load_tenants
+from ..tenants.keeper import Keeper
+from ..tenants.tree import Tree
 
+BOOKS_WAIT = 6.0    # seconds for engines to tell what ran and for the last entries to be shipped
 RELEASE_WAIT = 2.0  # seconds that a stopping node waits for its last letting go to be delivered
 TAKEN_UP = 0.05     # seconds between looks at what is still on its way
 # A client that has just connected would be reset without a word if the listener closed at once: it is told instead.
@@ -46,9 +51,13 @@
             self._record = path.with_name(f"{path.name}.{number}").open("xb", buffering=0)
         recorder = Record(self._record) if self._record else NoRecord()
         self.pool = EnginePool(reactor, settings.limits, settings.rules, settings.node, settings.bind, self.log)
-        self.router = Router(settings.decisions_settings(), seed, self.pool, reactor, recorder, self.log, settings.node)
+        self.books = open_books(settings, reactor, self.pool, self.log)
+        engines = MeteredEngines(self.pool, self.books) if self.books else self.pool
+        if self.books:
+            self.books.engines = engines
+        self.router = Router(settings.decisions_settings(), seed, engines, reactor, recorder, self.log, settings.node)
         self.follower = follow(self.router, self.pool.locate, settings.roster, reactor, self.log)
-        self.messages = Messages(settings, self.router, reactor, self.log, boot)
+        self.messages = Messages(settings, self.router, reactor, self.log, boot, self.books)
         self._port: IListeningPort | None = None
         self._stopping: Deferred[None] | None = None
 
@@ -67,6 +76,8 @@
         listen = self.settings.messages.listen
         self._port = self.reactor.listenTCP(listen.port, self.messages.factory, interface=listen.host, backlog=1024)
         self.follower.start()
+        if self.books:
+            self.books.start()
         host, port = self.address
         self.log("listening", level="info", reason=f"{host}:{port}")
 
@@ -86,7 +97,8 @@
         def answered() -> None:
             if timer.active():
                 timer.cancel()
-            closed.addCallback(lambda _: self._deliver(self.reactor.seconds() + RELEASE_WAIT, done))
+            wait = BOOKS_WAIT if self.books else RELEASE_WAIT
+            closed.addCallback(lambda _: self._deliver(self.reactor.seconds() + wait, done))
 
         self.router.on_quiet = answered
         self.router.tell(lambda: None)  # quiet already, perhaps
@@ -100,7 +112,8 @@
 
     def _deliver(self, until: float, done: Deferred[None]) -> None:
         """Waits for the last releases and the last bytes to clients."""
-        if (self.pool.letting_go or self.messages.factory.connections) and self.reactor.seconds() < until:
+        busy = self.pool.letting_go or self.messages.factory.connections or self.books and not self.books.quiet
+        if busy and self.reactor.seconds() < until:
             self.reactor.callLater(TAKEN_UP, self._deliver, until, done)
             return
         self.follower.stop()
@@ -108,6 +121,10 @@
         for connection in list(self.messages.factory.connections):
             connection.abort()
         self.close_record()
+        if self.books:
+            if not self.books.quiet:
+                self.log("books are not quiet", level="warning", reason=f"{len(self.books.waiting)} attempts are not told")
+            self.books.stop()
         counts = self.router.counts
         self.log("stopped", level="info", reason=f"{counts.taken} taken, {counts.generated} generated, "
                  f"{counts.rejected} rejected, {counts.aborted} aborted, {counts.left} left")
@@ -116,3 +133,26 @@
     def close_record(self) -> None:
         if self._record and not self._record.closed:
             self._record.close()
+
+
+def open_books(settings: NodeSettings, reactor: IReactorTCP, pool: EnginePool, log: Callable[..., None]) -> Books | None:
+    """The books of a node, or None where its settings keep none.
+
+    Raises:
+        BadSettings: the tree does not stand or the ledger cannot be opened.
+    """
+    ledger = settings.ledger
+    if not ledger.path:
+        if settings.tenants or settings.tenants_file or ledger.service:
+            raise BadSettings(["ledger.path: missing: tenants' budgets need a ledger"])
+        return None
+    try:
+        tree = Tree(settings.tenants | load_tenants(settings.tenants_file))
+        store = Store(ledger.path, ledger.durability == "power")
+    except (ValueError, LedgerBroken) as wrong:
+        raise BadSettings([str(wrong)]) from None
+    keeper = Keeper(tree, ledger.overdraft_tokens if ledger.service else 0,
+                    lambda budget, spent: log("soft mark passed", level="warning", reason=f"{budget.name}: {spent} spent"),
+                    alone=not ledger.service)
+    rules = Rules(ledger.when_full, ledger.lease_ms / 1000, ledger.tell_s, service=ledger.service)
+    return Books(reactor, settings.node, store, keeper, rules, log, pool.ask_usage)
--- a/aniserudder/daemon/serve.py
+++ b/aniserudder/daemon/serve.py
@@ -19,6 +19,8 @@
     """
     try:
         node = RunningNode(settings, reactor)
+    except BadSettings:
+        raise
     except (ValueError, OSError) as wrong:
         raise BadSettings([str(wrong)]) from None
     try:
--- a/aniserudder/engines/codec.py
+++ b/aniserudder/engines/codec.py
@@ -2,8 +2,8 @@
 
 The protocol follows the publicly known convention for separate prefill and decode over a chat-completions API: a
 reader is asked for one token at most with ``kv_transfer_params: {"do_remote_decode": true}`` and returns transfer
-parameters that name the held state; a writer is given them back and streams. Two things the convention leaves open
-are ours: letting go of a held state is ``POST /v1/kv/release``, and an engine that has done nothing says so in
+parameters that name the held state; a writer is given them back and streams. Three things the convention leaves open
+are ours: ``GET /v1/usage`` tells what an attempt ran, also long after; letting go of a held state is ``POST /v1/kv/release``, and an engine that has done nothing says so in
 ``error.code``: ``full`` or ``draining`` (503 or 429) and ``no_state`` (409). Any other refusal may have run.
 """
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from ..core.ports import Attempt, Usage
 from ..decisions.interface import Outcome
 
-GENERATE, RELEASE, STATUS = "/v1/chat/completions", "/v1/kv/release", "/v1/status"
+GENERATE, RELEASE, STATUS, USAGE = "/v1/chat/completions", "/v1/kv/release", "/v1/status", "/v1/usage"
 NEVER_RAN = {(503, "full"): Outcome.FULL, (429, "full"): Outcome.FULL, (503, "draining"): Outcome.FULL,
              (409, "no_state"): Outcome.NO_STATE}
 
--- a/aniserudder/engines/pool.py
+++ b/aniserudder/engines/pool.py
@@ -214,6 +214,11 @@
             done(values is not None, values)
         self._ask(engine, "GET", codec.STATUS, b"", answered)
 
+    def ask_usage(self, engine: str, seq_id: str, ordinal: int, done: Callable[[bytes | None], None]) -> None:
+        """Asks an engine what one attempt ran; ``done`` gets its answer's body, or None where there was none."""
+        path = f"{codec.USAGE}?request_id={seq_id}&attempt={ordinal}"
+        self._ask(engine, "GET", path, b"", lambda status, body: done(body if status == 200 else None))
+
     def close(self) -> None:
         """Closes what is idle and takes no connection back."""
         self.closed = True
--- /dev/null
+++ b/aniserudder/ledger/books.py
@@ -0,0 +1,411 @@
+"""The books of one node: it reserves before a sequence is taken, writes what is sent before it is sent, learns from engines
+what ran, and ships all of it to the ledger service.
+
+``MeteredEngines`` stands between the router and the pool and sees each schedule attempt; ``MeteredAnswer`` stands between
+the router and a client and sees its final answer. Attempts of which no engine has told what ran, be it that the connection
+was cut, the attempt called off or the node killed, are asked for by name until an engine tells or ``tell_s`` is over; then they stand
+with what the node saw itself, flagged.
+"""
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import xxhash
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IDelayedCall, IReactorTCP
+from twisted.internet.protocol import Factory
+
+from ..core.ports import Answer, Attempt, Engines, Request, Usage
+from ..decisions.interface import Outcome
+from ..tenants.billing import Try, Work, charge
+from ..tenants.keeper import Keeper, Refusal
+from ..tenants.shares import Lease
+from ..wire.client import ClientConnection
+from .entries import Ended, Entry, Row, Sent, Shipment, Taken, Told
+from .service import Ask, Asks, Grant
+from .store import LedgerFull, Store
+
+PROVEN = frozenset({Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT})  # nothing ran
+SHIP_MOST = 500       # entries in one shipment
+ASK_PENDING = 64      # attempts that are asked for at a time
+_encode, _dict = msgspec.json.Encoder().encode, msgspec.json.Decoder(dict[str, Any]).decode
+_grants = msgspec.json.Decoder(dict[str, list[Grant]]).decode
+
+
+@dataclass(slots=True, eq=False)
+class Open:
+    """One sequence that is not settled."""
+    tenant: str
+    one: Try
+    seen: dict[int, int] = field(default_factory=dict)  # pieces of text by ordinal
+    most: int = 0
+
+
+class MeteredAttempt:
+    """A schedule attempt on its way through the books (``core.ports.Attempt``)."""
+
+    __slots__ = ("books", "inner", "seq_id", "ordinal", "engine", "reads", "request", "state", "time_out")
+
+    def __init__(self, books: Books, inner: Attempt) -> None:
+        self.books, self.inner = books, inner
+        self.seq_id, self.ordinal, self.engine = inner.seq_id, inner.ordinal, inner.engine
+        self.reads, self.request, self.state, self.time_out = inner.reads, inner.request, inner.state, inner.time_out
+
+    def text(self, piece: str) -> None:
+        self.books.saw(self.seq_id, self.ordinal)
+        self.inner.text(piece)
+
+    def ended(self, outcome: Outcome, usage: Usage = Usage(), state: dict[str, Any] | None = None, reason: str = "",
+              report: dict[str, float] | None = None) -> None:
+        self.books.ended(self, outcome, usage)
+        self.inner.ended(outcome, usage, state, reason, report)
+
+
+class MeteredEngines:
+    """The engines' side with the books in front of it."""
+
+    def __init__(self, inner: Engines, books: Books) -> None:
+        self.inner, self.books = inner, books
+        self._out: dict[Attempt, MeteredAttempt] = {}
+
+    def send(self, attempt: Attempt) -> None:
+        metered = MeteredAttempt(self.books, attempt)
+        if not self.books.sent(metered):
+            return attempt.ended(Outcome.NOT_SENT, reason="the ledger cannot be written")
+        self._out[attempt] = metered
+        self.inner.send(metered)
+
+    def call_off(self, attempt: Attempt) -> None:
+        metered = self._out.pop(attempt, None)
+        if metered:
+            self.inner.call_off(metered)
+
+    def let_go(self, seq_id: str, engine: str, ordinal: int, state: dict[str, Any] | None) -> None:
+        self.inner.let_go(seq_id, engine, ordinal, state)
+
+    def probe(self, engine: str, done: Any) -> None:
+        self.inner.probe(engine, done)
+
+    def over(self, attempt: Attempt) -> None:
+        """Its end was told."""
+        self._out.pop(attempt, None)
+
+
+class MeteredAnswer:
+    """A client's side with the books behind it (``core.ports.Answer``)."""
+
+    __slots__ = ("books", "inner", "seq")
+
+    def __init__(self, books: Books, inner: Answer, seq: str) -> None:
+        self.books, self.inner, self.seq = books, inner, seq
+
+    def text(self, piece: str) -> None:
+        self.inner.text(piece)
+
+    def generated(self, reason: str, usage: Usage) -> None:
+        self.books.final(self.seq, "generated")
+        self.inner.generated(reason, usage)
+
+    def rejected(self, come_back: int, reason: str) -> None:
+        self.books.final(self.seq, "rejected")
+        self.inner.rejected(come_back, reason)
+
+    def aborted(self, reason: str) -> None:
+        self.books.final(self.seq, "aborted")
+        self.inner.aborted(reason)
+
+
+@dataclass(slots=True)
+class Rules:
+    """What an operator sets for the books. Times in seconds."""
+    when_full: str = "refuse"     # or "serve": go on, and log each sequence that is not written
+    lease_s: float = 0.1          # between asks for leases and shipments
+    tell_s: float = 3600.0        # how long engines are asked what an attempt ran
+    ask_again_s: float = 0.5
+    service: str = ""             # host:port of the ledger service; empty: this node is alone
+
+
+class Books:
+    """One node's books.
+
+    Args:
+        ask_usage: asks an engine what an attempt ran; calls back with the answer's body or None.
+        wall: whole microseconds of wall time.
+        life: names this start of the node to the ledger service.
+    """
+
+    def __init__(self, reactor: IReactorTCP, node: str, store: Store, keeper: Keeper, rules: Rules,
+                 log: Callable[..., None], ask_usage: Callable[..., None], wall: Callable[[], int] | None = None,
+                 life: str = "") -> None:
+        self.reactor, self.node, self.store, self.keeper, self.rules, self.log = reactor, node, store, keeper, rules, log
+        self.ask_usage = ask_usage
+        self.wall = wall or (lambda: time.time_ns() // 1000)
+        self.life = life or os.urandom(6).hex()
+        self.open: dict[str, Open] = {}
+        self.waiting: dict[tuple[str, int], tuple[Sent, float, int]] = {}  # not told yet: since when, pieces seen
+        self.unwritten = 0
+        self._asked: set[tuple[str, int]] = set()
+        self._service: ClientConnection | None = None
+        self._busy = self._stopped = self._ships = False
+        self._timers: list[IDelayedCall] = []
+        self.engines: MeteredEngines | None = None
+
+    def start(self) -> None:
+        """Takes up what a former life left open, and begins to lease and ship."""
+        now = self.reactor.seconds()
+        for sent in self.store.pending():
+            self.waiting[sent.seq, sent.ordinal] = (sent, now, 0)
+        if self.waiting:
+            self.log("attempts of a former life are asked for", level="info", reason=str(len(self.waiting)))
+        self._tick()
+        self._ask_pending()
+
+    def stop(self) -> None:
+        self._stopped = True
+        for timer in self._timers:
+            if timer.active():
+                timer.cancel()
+        if self._service:
+            self._service.drop()
+        self.store.close()
+
+    @property
+    def quiet(self) -> bool:
+        """Whether all is told and shipped."""
+        return not self.waiting and (not self.rules.service or self.store.shipped(self.node) >= self.store.last)
+
+    # The way of a sequence.
+
+    def reserve(self, seq: str, request: Request) -> Refusal | None:
+        """Before a sequence is taken. None: it may be; it has to end by ``final``."""
+        prompt = request.prompt
+        mark = request.mark or _digest(request)
+        refusal = self.keeper.reserve(seq, prompt.customer, mark, prompt.tokens, prompt.max_output, self.wall())
+        if refusal is None:
+            at = self.wall()
+            one = Try(self.node, seq, mark, bool(request.mark), prompt.customer, prompt.traffic_type, at)
+            self.open[seq] = Open(prompt.customer, one, most=prompt.max_output)
+            if not self._write([Taken(seq, at, prompt.customer, prompt.traffic_type, mark, bool(request.mark))]):
+                self.open.pop(seq)
+                self.keeper.settle(seq, 0, 0, at)
+                return Refusal("ledger", "", 0, 0, 0, 0)
+        return refusal
+
+    def sent(self, attempt: MeteredAttempt) -> bool:
+        """Before an attempt's first byte goes out. False: it could not be written and must not go."""
+        sent = Sent(attempt.seq_id, attempt.ordinal, attempt.engine, attempt.reads, attempt.state is not None,
+                    attempt.request.prompt.tokens, attempt.request.prompt.max_output)
+        if not self._write([sent]):
+            return False
+        self.waiting[sent.seq, sent.ordinal] = (sent, self.reactor.seconds(), 0)
+        known = self.open.get(sent.seq)
+        if known:
+            known.one.works[sent.ordinal] = Work(sent.ordinal, sent.engine, sent.reads, sent.fetched)
+        return True
+
+    def saw(self, seq: str, ordinal: int) -> None:
+        """A piece of text came by."""
+        held = self.waiting.get((seq, ordinal))
+        if held:
+            self.waiting[seq, ordinal] = (held[0], held[1], held[2] + 1)
+        known = self.open.get(seq)
+        if known and ordinal in known.one.works:
+            known.one.works[ordinal].written += 1
+
+    def ended(self, attempt: MeteredAttempt, outcome: Outcome, usage: Usage) -> None:
+        """An attempt ended with an answer of its engine, or with proof that nothing ran, or neither."""
+        if self.engines:
+            self.engines.over(attempt.inner)
+        held = self.waiting.get((attempt.seq_id, attempt.ordinal))
+        if held is None:
+            return
+        sent, _, seen = held
+        if outcome in PROVEN:
+            self._told(Told(sent.seq, sent.ordinal, outcome.value))
+        elif outcome in (Outcome.READ, Outcome.GENERATED):
+            self._told(bounded(sent, outcome.value, usage.read, usage.kept, usage.written, seen))
+
+    def final(self, seq: str, final: str) -> None:
+        """A sequence has its final answer, or its client left."""
+        known = self.open.pop(seq, None)
+        if known is None:
+            return
+        known.one.final = final
+        served, _ = charge(known.one)
+        self._write([Ended(seq, self.wall(), final)])
+        # A read that is still on its way to be told is charged as estimated; the bill itself waits for the engine.
+        self.keeper.settle(seq, sum(w.read for w in served), sum(w.written for w in served), self.wall())
+
+    # What ran.
+
+    def _told(self, told: Told) -> None:
+        known = self.open.get(told.seq)
+        if known and told.ordinal in known.one.works:
+            work = known.one.works[told.ordinal]
+            work.read, work.kept, work.written, work.outcome = told.read, told.kept, told.written, told.outcome
+            work.told = True
+        if self._write([told]):
+            self.waiting.pop((told.seq, told.ordinal), None)
+
+    def _ask_pending(self) -> None:
+        """Asks engines for attempts that ended without telling."""
+        now = self.reactor.seconds()
+        running = {(m.seq_id, m.ordinal) for m in self.engines._out.values()} if self.engines else set()
+        asked = 0
+        for key, (sent, since, seen) in list(self.waiting.items()):
+            if key in running or key in self._asked:
+                continue
+            if now - since > self.rules.tell_s:
+                self._told(bounded(sent, "untold", 0, 0, seen, seen, "no engine told"))
+                continue
+            if asked >= ASK_PENDING:
+                break
+            asked += 1
+            self._asked.add(key)
+            self.ask_usage(sent.engine, sent.seq, sent.ordinal, lambda body, key=key: self._answered(key, body))
+        if not self._stopped:
+            self._timers[:] = [t for t in self._timers if t.active()]
+            self._timers.append(self.reactor.callLater(self.rules.ask_again_s, self._ask_pending))
+
+    def _answered(self, key: tuple[str, int], body: bytes | None) -> None:
+        self._asked.discard(key)
+        held = self.waiting.get(key)
+        if self._stopped or held is None or body is None:
+            return
+        sent, _, seen = held
+        try:
+            said = _dict(body)
+            if said.get("state") == "running":
+                return
+            if said.get("state") == "unknown":  # it never had the request
+                return self._told(Told(sent.seq, sent.ordinal, "never ran"))
+            self._told(bounded(sent, str(said.get("outcome", "")), said["read"], said["kept"], said["written"], seen))
+        except (msgspec.DecodeError, KeyError, TypeError):
+            self._told(bounded(sent, "untold", 0, 0, seen, seen, "the engine's figures cannot be read"))
+
+    # Writing, leasing, shipping.
+
+    def _write(self, fresh: list[Entry]) -> bool:
+        try:
+            self.store.append(fresh, self.node)
+            return True
+        except LedgerFull as full:
+            self.unwritten += 1
+            self.log("ledger cannot be written", level="error", seq=fresh[0].seq, reason=str(full))
+            return self.rules.when_full == "serve"
+
+    def _tick(self) -> None:
+        if self._stopped:
+            return
+        self._timers.append(self.reactor.callLater(self.rules.lease_s, self._tick))
+        if not self.rules.service or self._busy:
+            return
+        now, asks, returns = self.reactor.seconds(), [], []
+        for account in self.keeper.accounts.values():
+            wanted = account.part.ask(now) if isinstance(account.part, Lease) else 0
+            if wanted:
+                (asks if wanted > 0 else returns).append(
+                    Ask(account.budget.name, account.budget.most, account.spent.begin, abs(wanted), account.part.used))
+        behind = self.store.shipped(self.node) < self.store.last
+        self._ships = behind and (not (asks or returns) or not self._ships)  # in turn, so that neither starves the other
+        if (asks or returns) and not self._ships:
+            for back in returns:  # before they are told: if that gets lost they are wasted, and never granted twice
+                self.keeper.accounts[back.budget].part.returned(back.wanted)
+            self._request("/v1/lease", _encode(Asks(self.node, self.life, asks, returns)),
+                          lambda s, b: self._granted(asks, s, b))
+        elif behind:
+            for ask in asks:
+                self.keeper.accounts[ask.budget].part.unanswered()
+            after = self.store.shipped(self.node)
+            rows = [Row(n, msgspec.Raw(body)) for n, body in self.store.after(after, SHIP_MOST)]
+            self._request("/v1/entries", _encode(Shipment(self.node, after, rows)), self._shipped)
+
+    def _granted(self, asks: list[Ask], status: int, body: bytes) -> None:
+        grants = {g.budget: g for g in _grants(body)["grants"]} if status == 200 else {}
+        for ask in asks:
+            account, grant = self.keeper.accounts.get(ask.budget), grants.get(ask.budget)
+            if account is None or not isinstance(account.part, Lease):
+                continue
+            if grant is None or grant.begin != account.spent.begin:
+                account.part.unanswered()
+            else:
+                account.part.granted(grant.granted, grant.left, self.reactor.seconds())
+
+    def _shipped(self, status: int, body: bytes) -> None:
+        if status == 200:
+            self.store.acknowledged(self.node, int(_dict(body)["upto"]))
+
+    def _request(self, path: str, body: bytes, done: Callable[[int, bytes], None]) -> None:
+        self._busy = True
+        timer = self.reactor.callLater(2.0, lambda: self._service and self._service.drop() or over(0, b""))
+        state = {"over": False}
+
+        def over(status: int, data: bytes) -> None:
+            if not state["over"]:
+                state["over"], self._busy = True, False
+                if timer.active():
+                    timer.cancel()
+                if not self._stopped:
+                    done(status, data)
+
+        def ready(connection: ClientConnection) -> None:
+            self._service = connection
+            if not connection.ask("POST", path, [], body, _Collected(over)):
+                over(0, b"")
+
+        kept = self._service
+        if kept and kept.state.value == "idle" and kept.transport.connected:
+            return ready(kept)
+        host, _, port = self.rules.service.rpartition(":")
+        factory = Factory.forProtocol(lambda: ClientConnection(self.rules.service, lambda c: None, lambda c: None))
+        factory.noisy = False
+        TCP4ClientEndpoint(self.reactor, host, int(port), timeout=1).connect(factory).addCallbacks(
+            ready, lambda failure: over(0, b""))
+
+
+def bounded(sent: Sent, outcome: str, read: int, kept: int, written: int, seen: int, flag: str = "") -> Told:
+    """An engine's figures, held to what the node itself knows: no negative ones, no more written than was allowed or less
+    than came by, nothing read where a state was fetched, and a prompt of at most four times the estimate."""
+    if not flag and (min(read, kept, written) < 0 or kept > read):
+        flag = f"an engine said {read}, {kept}, {written}"
+    if sent.fetched or outcome == "never ran":
+        read, kept = 0, 0
+    else:
+        read = read - kept if kept <= read else 0
+    if sent.reads:
+        written = 0
+    most = 4 * sent.estimate + 1000
+    held = (min(max(0, read), most), min(max(0, kept), most), min(max(written, seen), max(sent.most, seen)))
+    if not flag and held != (read, kept, written):
+        flag = f"an engine said {read}, {kept}, {written}"
+    return Told(sent.seq, sent.ordinal, outcome, *held, flag)
+
+
+class _Collected:
+    """The exchange of one small request."""
+
+    def __init__(self, over: Callable[[int, bytes], None]) -> None:
+        self.over, self.status, self.data = over, 0, b""
+
+    def head(self, status: int) -> None:
+        self.status = status
+
+    def body(self, data: bytes) -> None:
+        self.data += data
+
+    def complete(self) -> None:
+        self.over(self.status, self.data)
+
+    def lost(self, reason: str, malformed: bool) -> None:
+        self.over(0, b"")
+
+
+def _digest(request: Request) -> str:
+    """Names a wish by its words, where the client sent no key."""
+    prompt = request.prompt
+    return "words " + xxhash.xxh3_128_hexdigest(_encode([prompt.customer, prompt.session, request.body]))
--- /dev/null
+++ b/aniserudder/ledger/store.py
@@ -0,0 +1,287 @@
+"""Keeps entries: append-only, chained by checksums, in SQLite with a write-ahead log.
+
+SQLite brings what is hard: a kill at any byte leaves the last whole commit, and a torn tail is cut when the file is
+opened. The chain over it (xxh3, 128 bits, each row's sum over the last sum and its own bytes) shows rows that were changed,
+lost or added by other means. An entry is acknowledged when ``append`` returns: with ``power`` durability it is then on the
+disk, with ``process`` it is the operating system's, which survives any end of this process but not of the machine.
+"""
+from __future__ import annotations
+
+import sqlite3
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+import xxhash
+
+from ..tenants.billing import Folded, Line, Price, Tokens, Try, bill, operations
+from . import entries
+from .entries import Entry, Sent, Taken, Told
+
+FORM = "aniserudder ledger 1"
+TAIL = 2_000  # rows whose chain is checked when the file is opened; ``check`` goes over all
+
+SCHEMA = """
+CREATE TABLE meta (key TEXT PRIMARY KEY, value TEXT NOT NULL) WITHOUT ROWID;
+CREATE TABLE log (no INTEGER PRIMARY KEY, node TEXT NOT NULL, number INTEGER NOT NULL, body BLOB NOT NULL, sum TEXT NOT NULL);
+CREATE TABLE pending (seq TEXT NOT NULL, ordinal INTEGER NOT NULL, body BLOB NOT NULL, PRIMARY KEY (seq, ordinal)) WITHOUT ROWID;
+CREATE TABLE shipped (node TEXT PRIMARY KEY, upto INTEGER NOT NULL) WITHOUT ROWID;
+CREATE TABLE lease (budget TEXT NOT NULL, begin INTEGER NOT NULL, node TEXT NOT NULL, life TEXT NOT NULL,
+  leased INTEGER NOT NULL, used INTEGER NOT NULL, closed INTEGER NOT NULL, PRIMARY KEY (budget, node)) WITHOUT ROWID;
+CREATE TABLE folded (at INTEGER NOT NULL, tenant TEXT NOT NULL, type TEXT NOT NULL, mark TEXT NOT NULL, tries INTEGER NOT NULL,
+  figures TEXT NOT NULL, unconfirmed INTEGER NOT NULL, PRIMARY KEY (tenant, type, mark, at)) WITHOUT ROWID;
+"""
+
+
+class LedgerBroken(Exception):
+    """A ledger that cannot be opened or does not add up."""
+
+
+class LedgerFull(Exception):
+    """An entry could not be written; nothing of the call was."""
+
+
+@dataclass(slots=True, frozen=True)
+class Checked:
+    """What a check went over."""
+    rows: int
+    first: int
+    last: int
+    pending: int
+
+
+class Store:
+    """One ledger file.
+
+    Args:
+        path: created if it is not there.
+        power: entries survive the loss of power, at the cost of a flush of the disk for each append.
+
+    Raises:
+        LedgerBroken: it is no ledger, or its tail does not add up.
+    """
+
+    def __init__(self, path: str | Path, power: bool = False) -> None:
+        self.path = Path(path)
+        try:
+            self.path.parent.mkdir(parents=True, exist_ok=True)
+            self._db = sqlite3.connect(self.path, isolation_level=None, timeout=5)
+            self._db.execute("PRAGMA journal_mode=WAL")
+            self._db.execute(f"PRAGMA synchronous={'FULL' if power else 'NORMAL'}")
+            if not self._db.execute("SELECT count(*) FROM sqlite_master").fetchone()[0]:
+                self._db.executescript(f"BEGIN;{SCHEMA}INSERT INTO meta VALUES ('form', '{FORM}'), ('base', '');COMMIT;")
+            found = self._meta("form")
+        except (sqlite3.Error, OSError) as problem:
+            raise LedgerBroken(f"{path}: {problem}") from None
+        if found != FORM:
+            raise LedgerBroken(f"{path}: form {found!r}, this program reads {FORM!r}")
+        self._last = self._db.execute("SELECT coalesce(max(no), 0) FROM log").fetchone()[0]
+        self._sum = self._sum_before(self._last + 1)
+        self.verify(self._last - TAIL)
+
+    def close(self) -> None:
+        self._db.close()
+
+    # Writing.
+
+    def append(self, fresh: Iterable[Entry], node: str = "") -> int:
+        """Writes entries of this ledger's own node, all or none; returns the last number. Acknowledged on return.
+
+        Raises:
+            LedgerFull: they could not be written.
+        """
+        return self._write([(node, 0, entries.encode(e), e) for e in fresh])
+
+    def receive(self, node: str, after: int, rows: Iterable[tuple[int, bytes]]) -> int:
+        """Writes entries that another node ships, which follow its entry ``after``; those that came before are passed
+        over. Returns how far it has them.
+
+        Raises:
+            LedgerFull: they could not be written.
+            ValueError: some are missing before them, or one cannot be read.
+        """
+        upto = self.shipped(node)
+        if after > upto:
+            raise ValueError(f"{node}: entries after {after} came, and only those up to {upto} are here")
+        fresh = []
+        for number, body in rows:
+            if number <= upto:
+                continue
+            fresh.append((node, number, body, entries.decode(body)))
+            upto = number
+        if fresh:
+            self._write(fresh, upto)
+        return upto
+
+    def _write(self, fresh: list[tuple[str, int, bytes, Entry]], upto: int = 0) -> int:
+        db, last, chain = self._db, self._last, self._sum
+        try:
+            db.execute("BEGIN IMMEDIATE")
+            for node, number, body, entry in fresh:
+                last += 1
+                chain = _chain(chain, body)
+                db.execute("INSERT INTO log VALUES (?, ?, ?, ?, ?)", (last, node, number or last, body, chain))
+                if isinstance(entry, Sent):
+                    db.execute("INSERT OR IGNORE INTO pending VALUES (?, ?, ?)", (entry.seq, entry.ordinal, body))
+                elif isinstance(entry, Told):
+                    db.execute("DELETE FROM pending WHERE seq = ? AND ordinal = ?", (entry.seq, entry.ordinal))
+            if upto:
+                db.execute("INSERT OR REPLACE INTO shipped VALUES (?, ?)", (fresh[0][0], upto))
+            db.execute("COMMIT")
+        except sqlite3.Error as problem:
+            if db.in_transaction:
+                db.execute("ROLLBACK")
+            raise LedgerFull(str(problem)) from None
+        self._last, self._sum = last, chain
+        return last
+
+    # Reading.
+
+    @property
+    def last(self) -> int:
+        """Number of the newest entry."""
+        return self._last
+
+    def shipped(self, node: str) -> int:
+        """How far this ledger has another node's entries; for its own, how far they were shipped."""
+        row = self._db.execute("SELECT upto FROM shipped WHERE node = ?", (node,)).fetchone()
+        return row[0] if row else 0
+
+    def acknowledged(self, node: str, upto: int) -> None:
+        """The ledger service has this node's entries up to there."""
+        self._db.execute("INSERT OR REPLACE INTO shipped VALUES (?, ?)", (node, upto))
+
+    def after(self, number: int, most: int) -> list[tuple[int, bytes]]:
+        """Entries behind a number, in order."""
+        return self._db.execute("SELECT no, body FROM log WHERE no > ? ORDER BY no LIMIT ?", (number, most)).fetchall()
+
+    def pending(self) -> list[Sent]:
+        """Attempts of which nobody has told what they ran."""
+        return [entries.decode(body) for (body,) in self._db.execute("SELECT body FROM pending ORDER BY seq, ordinal")]
+
+    def rows(self) -> Iterator[tuple[str, Entry]]:
+        for node, body in self._db.execute("SELECT node, body FROM log ORDER BY no"):
+            yield node, entries.decode(body)
+
+    def tries(self) -> dict[str, Try]:
+        """All tries that are not folded yet."""
+        return entries.put_together(self.rows())
+
+    def bill(self, since: int, until: int, prices: list[Price], recognise: int, lost_to: str) -> list[Line]:
+        """The lines of a period, folded operations included."""
+        return bill(self.tries().values(), since, until, prices, recognise, lost_to, self._folded())
+
+    def verify(self, after: int = 0) -> Checked:
+        """Goes over the chain behind a number.
+
+        Raises:
+            LedgerBroken: at the first row that does not add up.
+        """
+        first = max(1, after + 1)
+        low = self._db.execute("SELECT coalesce(min(no), 0) FROM log").fetchone()[0]
+        begin = max(first, low)
+        chain, count, expect = self._sum_before(begin), 0, begin
+        for no, body, kept in self._db.execute("SELECT no, body, sum FROM log WHERE no >= ? ORDER BY no", (begin,)):
+            chain = _chain(chain, body)
+            if no != expect or chain != kept:
+                raise LedgerBroken(f"{self.path}: row {no} does not add up: it was changed, or rows before it are gone")
+            count, expect = count + 1, no + 1
+        pending = self._db.execute("SELECT count(*) FROM pending").fetchone()[0]
+        return Checked(count, begin, expect - 1, pending)
+
+    # Compaction.
+
+    def compact(self, before: int, recognise: int, node: str = "") -> tuple[int, int]:
+        """Folds operations that ended before a time, and of which nothing is pending, into one row each.
+
+        ``node``: this is the ledger of a node that ships; while it has entries to ship, nothing is done.
+
+        What goes on is written anew behind the log and the log's beginning is dropped, in one transaction: a kill leaves
+        the old state or the new one. Returns how many rows went and how many operations were folded.
+        """
+        if node and self.shipped(node) < self._last:
+            return 0, 0
+        open_seqs = {s.seq for s in self.pending()}
+        fold, keep = [], set()
+        for tried in operations(self.tries().values(), recognise):
+            done = all(t.final and t.ended + recognise < before and t.seq not in open_seqs for t in tried)
+            if done:
+                fold.append(tried)
+            else:
+                keep.update(t.seq for t in tried)
+        rest = [(node, number, body) for node, number, body in
+                self._db.execute("SELECT node, number, body FROM log ORDER BY no") if entries.decode(body).seq in keep]
+        db, last, chain = self._db, self._last, self._sum
+        try:
+            db.execute("BEGIN IMMEDIATE")
+            for tried in fold:
+                db.execute("INSERT OR REPLACE INTO folded VALUES (?, ?, ?, ?, ?, ?, ?)", _fold(tried))
+            db.execute("INSERT OR REPLACE INTO meta VALUES ('base', ?)", (chain,))
+            db.execute("DELETE FROM log")
+            for node, number, body in rest:
+                last, chain = last + 1, _chain(chain, body)
+                db.execute("INSERT INTO log VALUES (?, ?, ?, ?, ?)", (last, node, number, body, chain))
+            if not rest:  # numbers never come twice, also when the log is empty
+                last, body = last + 1, entries.encode(entries.Ended("", 0, "compacted"))
+                chain = _chain(chain, body)
+                db.execute("INSERT INTO log VALUES (?, '', ?, ?, ?)", (last, last, body, chain))
+            if node:  # what was written anew was shipped under its old numbers
+                db.execute("INSERT OR REPLACE INTO shipped VALUES (?, ?)", (node, last))
+            db.execute("COMMIT")
+        except sqlite3.Error as problem:
+            if db.in_transaction:
+                db.execute("ROLLBACK")
+            raise LedgerFull(str(problem)) from None
+        gone = self._last - (len(rest) or 1)
+        self._last, self._sum = last, chain
+        db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+        db.execute("VACUUM")
+        return max(0, gone), len(fold)
+
+    def _folded(self) -> Iterator[Folded]:
+        for at, tenant, kind, tries, figures, unconfirmed in self._db.execute(
+                "SELECT at, tenant, type, tries, figures, unconfirmed FROM folded"):
+            n = [int(x) for x in figures.split(",")]
+            yield Folded(at, Line(tenant, kind, 1, tries, Tokens(*n[0:3]), Tokens(*n[3:6]), Tokens(*n[6:9]), unconfirmed))
+
+    # Leases, led for all nodes by the ledger service.
+
+    def leases(self, budget: str) -> list[tuple[int, str, str, int, int, int]]:
+        """Rows (begin, node, life, leased, used, closed) of a budget."""
+        return self._db.execute("SELECT begin, node, life, leased, used, closed FROM lease WHERE budget = ?",
+                                (budget,)).fetchall()
+
+    def keep_leases(self, rows: list[tuple[str, int, str, str, int, int, int]], dropped: list[str] = ()) -> None:
+        """Writes leases before they are told: a grant that was forgotten would be granted twice.
+
+        Raises:
+            LedgerFull: they could not be written.
+        """
+        try:
+            self._db.execute("BEGIN IMMEDIATE")
+            for budget in dropped:
+                self._db.execute("DELETE FROM lease WHERE budget = ?", (budget,))
+            self._db.executemany("INSERT OR REPLACE INTO lease VALUES (?, ?, ?, ?, ?, ?, ?)", rows)
+            self._db.execute("COMMIT")
+        except sqlite3.Error as problem:
+            if self._db.in_transaction:
+                self._db.execute("ROLLBACK")
+            raise LedgerFull(str(problem)) from None
+
+    def _meta(self, key: str) -> str:
+        row = self._db.execute("SELECT value FROM meta WHERE key = ?", (key,)).fetchone()
+        return row[0] if row else ""
+
+    def _sum_before(self, number: int) -> str:
+        row = self._db.execute("SELECT sum FROM log WHERE no = ?", (number - 1,)).fetchone()
+        return row[0] if row else self._meta("base")
+
+
+def _chain(last: str, body: bytes) -> str:
+    return xxhash.xxh3_128_hexdigest(last.encode() + body)
+
+
+def _fold(tried: list[Try]) -> tuple[int, str, str, str, int, str, int]:
+    line = bill(tried, 0, 1 << 62, [], 1 << 61)[0]
+    figures = ",".join(str(n) for t in (line.charged, line.lost, line.repeated) for n in t.row())
+    return (tried[0].at, line.tenant, line.type, tried[0].mark, len(tried), figures, line.unconfirmed)
--- a/aniserudder/messages/codec.py
+++ b/aniserudder/messages/codec.py
@@ -137,6 +137,12 @@
     return _encode({"type": "error", "error": problem(kind, message, come_back_ms)})
 
 
+def over_budget(message: str, budget: str, kind: str, wanted: int, left: int, renews: int) -> bytes:
+    """The body for a sequence that a budget refuses; ``renews`` in seconds since 1970."""
+    return _encode({"type": "error", "error": {"kind": "over_budget", "message": message, "budget": budget, "tokens": kind,
+                                               "wanted": wanted, "left": left, "renews_at": renews}})
+
+
 def whole(id: str, model: str, text: str, reason: str, usage: Usage) -> bytes:
     """The body of a whole answer."""
     return _encode({"id": id, "type": "message", "role": "assistant", "model": model,
--- a/aniserudder/messages/mapping.py
+++ b/aniserudder/messages/mapping.py
@@ -10,7 +10,8 @@
 tokens          characters by ``tokens.chars_per_token``, corrected by what engines have counted (``Estimate``)
 abandon time    header ``x-abandon-after-ms``, at most the type's own; else the type's, longer by its prompt
 output hint     header ``x-expected-output-tokens`` or ``metadata.expected_output_tokens``, times the type's pace
-repeat mark     header ``idempotency-key``, bound to the customer: goes on to engines for tokened types
+mark            header ``idempotency-key``, bound to the customer: the tries of one operation share it on bills, and
+                for tokened types engines are told it
 =============== ============================================================================================
 """
 from __future__ import annotations
@@ -94,7 +95,8 @@
             hint=expected * micros(row.token_pace_ms), time_left=max(1, left), customer=customer)
         body = codec.for_engines(asked)
         body["max_tokens"] = prompt.max_output
-        return Request(prompt, body, not asked.stream, f"{customer}/{key}" if key else "", asked.model)
+        mark = f"{customer}/{key}" if key else ""
+        return Request(prompt, body, not asked.stream, mark if row.effect == "tokened" else "", asked.model, mark)
 
     def _customer(self, headers: dict[str, str]) -> str:
         shown = headers.get("x-api-key") or headers.get("authorization", "").removeprefix("Bearer ").strip()
--- a/aniserudder/messages/server.py
+++ b/aniserudder/messages/server.py
@@ -9,7 +9,9 @@
 
 from ..core.ports import Usage
 from ..core.router import Router
+from ..ledger.books import Books, MeteredAnswer
 from ..settings.schema import NodeSettings
+from ..tenants.keeper import Refusal
 from ..wire.server import Bounds, Exchange, ServerFactory
 from . import codec
 from .mapping import Mapping, NoKey
@@ -80,10 +82,12 @@
         clock: for the bounds on clients' time.
         log: of the node.
         boot: names this start of the node in sequence ids, which never come twice.
+        books: reserve and bill; None: nobody is billed and no budget is kept.
     """
 
     def __init__(self, settings: NodeSettings, router: Router, clock: IReactorTime, log: Callable[..., None],
-                 boot: str = "") -> None:
+                 boot: str = "", books: Books | None = None) -> None:
+        self.books = books
         self.settings, self.router, self.log = settings, router, log
         self.mapping = Mapping(settings)
         self.words = Vocabulary(settings.messages.event_names)
@@ -123,10 +127,31 @@
         id = f"seq-{self.boot}-{self._count}"
         answer = ClientAnswer(self, exchange, codec.Stream(id, asked.model, self.words), request.whole,
                               request.prompt.tokens)
-        exchange.gone = lambda reason: self.router.client_left(id)
         exchange.body = bytearray()  # the request holds what is needed of it
+        if self.books:
+            refusal = self.books.reserve(id, request)
+            if refusal:
+                return self._refuse(exchange, refusal)
+            answer = MeteredAnswer(self.books, answer, id)
+        exchange.gone = lambda reason: self._left(id)
         self.router.take(id, request, answer)
 
+    def _left(self, id: str) -> None:
+        self.router.client_left(id)
+        if self.books:
+            self.books.final(id, "left")
+
+    def _refuse(self, exchange: Exchange, refusal: Refusal) -> None:
+        """Before any schedule attempt: which budget, what is left of it, and when there is more."""
+        self.turned_away += 1
+        if refusal.budget == "ledger":
+            return exchange.reply(503, codec.failure("rejected", "the ledger cannot be written"), [("retry-after", "5")])
+        seconds = max(1, math.ceil(refusal.come_back / 1_000_000))
+        self.log("budget refused", level="info", reason=refusal.text())
+        exchange.reply(429, codec.over_budget(refusal.text(), refusal.budget, refusal.kind, refusal.wanted,
+                                              max(0, refusal.left), refusal.renews // 1_000_000),
+                       [("retry-after", str(seconds)), ("retry-after-ms", str(seconds * 1000))])
+
     def _turn_away(self, exchange: Exchange, status: int, kind: str, reason: str,
                    headers: list[tuple[str, str]] = ()) -> None:
         self.turned_away += 1
--- a/aniserudder/rehearsal/audit.py
+++ b/aniserudder/rehearsal/audit.py
@@ -425,8 +425,8 @@
                 row.in_slo += took <= one.asked["slo_us"]
                 row.late += took > one.asked["slo_us"]
             else:
-                row.rejected += kind == "rejected"
-                row.aborted += kind != "rejected"
+                row.rejected += kind in ("rejected", "over_budget")
+                row.aborted += kind not in ("rejected", "over_budget")
         elif any(e["what"] == "left" for e in one.ends):
             row.left += 1
         else:
--- a/aniserudder/rehearsal/day.py
+++ b/aniserudder/rehearsal/day.py
@@ -10,7 +10,7 @@
 from pydantic import Field, model_validator
 
 from ..settings import BadSettings, load, load_text
-from ..settings.schema import Name, Part, TrafficType
+from ..settings.schema import Name, Part, TenantForm, TrafficType
 
 Seconds = Annotated[float, Field(ge=0, le=600)]
 Share = Annotated[float, Field(ge=0, le=1)]
@@ -18,7 +18,7 @@
 
 Trouble = Literal["balancer_crash", "node_stop", "flush", "hang", "slow", "zone_cut", "preempt", "mass_restart", "pauses",
                   "answer_lost", "give_up", "burst", "heavy_tail", "hot_key", "refuse", "reset_before", "reset_after",
-                  "garble", "roster_away", "role_swap"]
+                  "garble", "roster_away", "role_swap", "ledger_crash"]
 
 
 class DayRules(Part):
@@ -67,6 +67,8 @@
     leaves: Share = 0.02
     try_share: Span = [0.7, 1.0]
     front_notice_ms: float = 1200
+    customers: dict[Name, Annotated[float, Field(gt=0)]] = Field({"members": 1.0}, description="their parts of the traffic")
+    marked: Share = Field(0.0, description="of the operations that are not tokened: those that carry a key of their own")
 
 
 class Fault(Part):
@@ -97,6 +99,8 @@
     types: dict[Name, TypeTraffic] = Field(min_length=1)
     traffic: Traffic = Traffic()
     troubles: list[Fault] = Field(default_factory=list)
+    ledger: bool = Field(False, description="nodes keep ledgers, and a ledger service runs")
+    tenants: dict[Name, TenantForm] = Field(default_factory=dict)
 
     @model_validator(mode="after")
     def _names_meet(self) -> Day:
--- a/aniserudder/rehearsal/report.py
+++ b/aniserudder/rehearsal/report.py
@@ -5,6 +5,7 @@
 from rich.table import Table
 
 from .audit import RULES, Verdict
+from .bills import Agreement
 
 SHOWN = 12  # findings that are printed
 
@@ -45,3 +46,25 @@
             f"{total['in_slo']} generated in SLO, {total['late']} late, {total['rejected']} rejected, "
             f"{total['aborted']} aborted, {total['left']} left, {total['lost']} lost with a node, "
             f"{total['effects']} effects")
+
+
+def show_bills(agreed: Agreement, console: Console) -> bool:
+    """Bills against counts, and a last line ``bills: agree, N tenants, M sequences, difference 0``. True: they differ."""
+    table = Table(title="bills against the engines' own counts: tokens read/kept/written", title_justify="left")
+    for name in ("tenant", "type", "operations", "tries", "charged", "lost", "repeated", "engines", "flagged",
+                 "differs"):
+        table.add_column(name, justify="left" if name in ("tenant", "type") else "right")
+    for line in agreed.lines:
+        sums = ["/".join(map(str, t.row())) for t in (line.charged, line.lost, line.repeated)]
+        seen = agreed.counted.get((line.tenant, line.type), (0, 0, 0))
+        apart = sum(abs(a - b) for a, b in zip(line.whole(), seen))
+        table.add_row(line.tenant, line.type, str(line.operations), str(line.tries), *sums, "/".join(map(str, seen)),
+                      str(line.unconfirmed), str(apart or "-"))
+    console.print(table)
+    for problem in agreed.problems:
+        console.print(problem, highlight=False)
+    good = not agreed.difference and not agreed.problems and agreed.sequences > 0
+    tenants = len({tenant for tenant, _ in agreed.billed})
+    print(f"bills: {'agree' if good else 'DIFFER'}, {tenants} tenants, {agreed.sequences} sequences, "
+          f"difference {agreed.difference}")
+    return not good
--- a/aniserudder/settings/load.py
+++ b/aniserudder/settings/load.py
@@ -6,9 +6,9 @@
 from typing import Any, TypeVar
 
 import yaml
-from pydantic import BaseModel, ValidationError
+from pydantic import BaseModel, TypeAdapter, ValidationError
 
-from .schema import NodeSettings
+from .schema import NodeSettings, TenantForm
 
 Form = TypeVar("Form", bound=BaseModel)
 SHOWN = 60  # characters of a wrong value that are shown
@@ -108,3 +108,23 @@
 def _show(value: Any) -> str:
     text = repr(value)
     return text if len(text) <= SHOWN else text[:SHOWN] + "..."
+
+
+def load_tenants(path: str) -> dict[str, TenantForm]:
+    """Tenants from a JSON file, by name; none where no file is named.
+
+    Raises:
+        BadSettings: the file cannot be read or breaks the form.
+    """
+    if not path:
+        return {}
+    try:
+        return _tenants.validate_json(Path(path).read_bytes())
+    except OSError as problem:
+        raise BadSettings([f"{path}: {problem.strerror}"]) from None
+    except ValidationError as wrong:
+        first = wrong.errors()[0]
+        raise BadSettings([f"{path}: {'.'.join(map(str, first['loc'])) or 'the whole'}: {first['msg']}"]) from None
+
+
+_tenants = TypeAdapter(dict[str, TenantForm])
--- a/aniserudder/settings/schema.py
+++ b/aniserudder/settings/schema.py
@@ -5,6 +5,8 @@
 """
 from __future__ import annotations
 
+from datetime import date
+from decimal import Decimal
 from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
@@ -134,6 +136,57 @@
         return self
 
 
+class BudgetForm(Part):
+    """Tokens of one kind for a period. ``burst`` may be spent beyond it and is owed to the next period's room."""
+    tokens: Annotated[int, Field(ge=0)]
+    of: Literal["read", "written"]
+    period: Literal["hour", "day", "month", "rolling"] = "month"
+    rolling_s: Annotated[int, Field(ge=30, le=31 * 86400)] = 86400
+    offset_minutes: Annotated[int, Field(ge=-840, le=840)] = 0
+    burst: Annotated[int, Field(ge=0)] = 0
+    soft: Annotated[float, Field(gt=0, le=1)] = Field(0.8, description="a line is logged when this part is spent")
+
+
+class TenantForm(Part):
+    """One tenant. Its name is a customer's, or one that customers stand under."""
+    parent: str = ""
+    budgets: list[BudgetForm] = Field(default_factory=list)
+
+    @model_validator(mode="after")
+    def _one_of_a_kind(self) -> TenantForm:
+        seen = set()
+        for b in self.budgets:
+            mark = (b.of, b.period, b.rolling_s if b.period == "rolling" else 0)
+            if mark in seen:
+                raise ValueError(f"two budgets of {b.of} tokens for the same period")
+            seen.add(mark)
+        return self
+
+
+class PriceForm(Part):
+    """Prices for a million tokens, effective from a day on (UTC)."""
+    since: date
+    read: Decimal = Decimal(0)
+    kept: Decimal = Decimal(0)
+    written: Decimal = Decimal(0)
+    types: dict[Name, Decimal] = Field(default_factory=dict, description="factors by traffic type")
+
+
+class Ledger(Part):
+    """The node's books. Without a path nothing is kept, and budgets hold for this node's present life alone."""
+    path: str = Field("", description="the node's own ledger file")
+    service: str = Field("", description="host:port of the ledger service; empty: this node has all budgets for itself")
+    durability: Literal["process", "power"] = Field("process", description="what an entry survives before a send goes out")
+    when_full: Literal["refuse", "serve"] = Field("refuse", description="what becomes of sequences that cannot be written")
+    overdraft_tokens: Annotated[int, Field(ge=0)] = Field(
+        20_000, description="of each budget, while the ledger service does not answer")
+    lease_ms: Annotated[float, Field(ge=10)] = 100
+    tell_s: Annotated[float, Field(gt=0)] = Field(3600, description="how long engines are asked what an attempt ran")
+    recognise_s: Annotated[float, Field(ge=0)] = Field(
+        10, description="a retry without a key is known by its words for so long")
+    lost_to: Literal["operator", "tenant"] = Field("operator", description="who bears work lost to failures")
+
+
 class NodeSettings(Part):
     """The whole form."""
     node: Name = "node"
@@ -148,6 +201,10 @@
     kinds: dict[Name, EngineKind] = Field(min_length=1)
     types: dict[Name, TrafficType] = Field(min_length=1)
     customers: dict[Name, Customer] = Field(default_factory=dict)
+    tenants: dict[Name, TenantForm] = Field(default_factory=dict, description="by name; a customer's budgets are its tenant's")
+    tenants_file: str = Field("", description="a JSON file of more tenants, for trees too large for this one")
+    prices: list[PriceForm] = Field(default_factory=list)
+    ledger: Ledger = Ledger()
     rules: Rules = Rules()
     limits: Limits = Limits()
     tokens: Tokens = Tokens()
@@ -156,6 +213,13 @@
     may_probe: bool = False
     report_fields: list[Name] = Field(default_factory=list)
 
+    @model_validator(mode="after")
+    def _tenants_meet(self) -> NodeSettings:
+        for name, tenant in self.tenants.items():
+            if tenant.parent and tenant.parent not in self.tenants and not self.tenants_file:
+                raise ValueError(f"tenants.{name}.parent: {tenant.parent!r} is none of tenants")
+        return self
+
     @model_validator(mode="after")
     def _names_meet(self) -> NodeSettings:
         if self.messages.default_type and self.messages.default_type not in self.types:
--- a/aniserudder/standins/client.py
+++ b/aniserudder/standins/client.py
@@ -42,6 +42,7 @@
     node_draw: float                 # which of the zone's nodes
     leave_after_s: float = 0.0       # goes so long after the first piece of text; 0: stays
     backoff_s: float = 0.1
+    customer: str = "members"
     customer_key: str = ""
     key: str = ""                    # marks repeats of a tokened operation
 
@@ -250,7 +251,7 @@
     def next_try(self, done: Try, how: str, come_back: float) -> None:
         """Whether a client comes again after a try ended that way, and when."""
         op = done.op
-        harmless = how in ("rejected", "unreachable")
+        harmless = how in ("rejected", "unreachable")  # over budget is not: it would be refused again
         # A once-only operation is tried again only when it is known not to have run.
         again = harmless or how in ("aborted", "lost", "left") and op.effect != "once-only"
         if not again or done.number + 1 >= op.tries or op.leave_after_s and how == "left" and op.effect == "tokened":
@@ -286,7 +287,8 @@
         if op.key:
             headers.append(("idempotency-key", op.key))
         self.witness.note("asked", ref=one.ref, op=op.number, node=one.seat.name, type=op.type, effect=op.effect,
-                          abandon_us=op.abandon_us, slo_us=op.slo_us, streamed=op.streamed, key=op.key)
+                          abandon_us=op.abandon_us, slo_us=op.slo_us, streamed=op.streamed, key=op.key,
+                          customer=op.customer)
         one.give_up = self.reactor.callLater((op.abandon_us + self.slack_us) / 1e6, one._gave_up)
         if not connection.ask("POST", "/v1/messages", headers, _encode(body), one):
             one._over("lost")
--- a/aniserudder/standins/engine.py
+++ b/aniserudder/standins/engine.py
@@ -83,6 +83,8 @@
     stream: bool
     token: str
     kept: int = 0
+    did_read: int = 0              # prompt tokens that were read here, and that were found kept
+    did_kept: int = 0
     written: int = 0
     running: bool = False
     gone: bool = False
@@ -134,6 +136,7 @@
         self.started_at = 0.0          # wall clock; 0: long past
         self.blocks = 0
         self.fell = False
+        self.usage: dict[tuple[str, str], dict[str, Any]] = {}  # what each attempt ran; outlives the process, as a log would
         self._clear()
 
     def _clear(self) -> None:
@@ -219,6 +222,8 @@
         if exchange.path == "/v1/status":
             return exchange.reply(200, _encode({"inflight": len(self.running) + len(self.waiting) + len(self.held),
                                                 "x0": self._memory_used() / self.spec.memory}))
+        if exchange.path.startswith("/v1/usage?"):
+            return self._tell_usage(exchange)
         if exchange.path != "/v1/chat/completions":
             return exchange.reply(404, b"{}")
         try:
@@ -229,6 +234,7 @@
         self.witness.note("attempt", engine=self.spec.name, ref=work.ref, node=work.node, reads=work.reads,
                           local=not work.reads and work.state is None, model=work.model, tokens=work.prompt,
                           held_back=held_back > self.reactor.seconds() - 0.05)
+        self._use(work, "running")
         self._pushed(work)
         if self.down:
             return self._over(work, "engine died")
@@ -296,7 +302,18 @@
         if not work.gone:
             work.gone = True
             self.witness.note("attempt_end", engine=self.spec.name, ref=work.ref, result=result, kept=work.kept,
-                              read=work.prompt, written=work.written)
+                              read=work.did_read, did_kept=work.did_kept, written=work.written, model=work.model)
+            self._use(work, "over", result)
+
+    def _use(self, work: Work, state: str, outcome: str = "") -> None:
+        """Keeps what an attempt ran, for whoever asks."""
+        self.usage[work.seq, work.ordinal] = {"state": state, "outcome": outcome, "read": work.did_read + work.did_kept,
+                                              "kept": work.did_kept, "written": work.written}
+
+    def _tell_usage(self, exchange: Exchange) -> None:
+        query = dict(p.partition("=")[::2] for p in exchange.path.partition("?")[2].split("&"))
+        key = query.get("request_id", ""), query.get("attempt", "")
+        exchange.reply(200, _encode(self.usage.get(key, {"state": "unknown"})))
 
     def _left(self, work: Work) -> None:
         """Whoever asked is gone: work that waits is dropped, a stream that nobody reads ends."""
@@ -336,6 +353,7 @@
         work = self.reading.popleft()
         self._keep(work)
         if not work.gone:
+            work.did_read, work.did_kept = work.prompt - work.kept, work.kept
             if self._memory_used() + work.prompt > self.spec.memory:
                 self._refuse(work, 503, "full")
             elif not self._answer_goes_out(work):
@@ -454,6 +472,8 @@
         if work.gone:
             return
         self._keep(work)
+        if work.state is None:
+            work.did_read, work.did_kept = work.prompt - work.kept, work.kept
         work.running = True
         if work.token and self.repeats and self.repeats.is_repeat(work.token, self.reactor.seconds()):
             work.repeat = True
--- /dev/null
+++ b/aniserudder/tenants/shares.py
@@ -0,0 +1,189 @@
+"""How a budget holds over nodes that do not talk: what one node may grant of it. Pure state machines.
+
+Three ways were weighed (docs/tenants.md has the figures); ``Leases`` is what nodes run.
+
+- ``FixedPart``: each node has the budget by the number of nodes.
+- ``FollowedPart``: each node has the budget by its share of what all spent, as the ledger last said; late by design.
+- ``Leases``: the ledger grants parts on demand, and never more than the budget in all.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+LEASE_PART = 0.5     # of what is left, divided among the nodes seen lately: what one lease may be at most
+LEAST_PART = 0.0005  # of the budget: a lease is not cut below that
+HORIZON = 1.0        # seconds of its own use that a node holds ahead
+RATE_OVER = 0.25     # seconds over which use is noted
+FADE = 0.98          # what is left of the largest reservation after each
+SPENT_PAUSE = 1.0    # seconds between asks once the ledger has said that nothing is left
+SEEN_FOR = 10.0      # seconds that a node counts among those that share
+
+
+class Part(Protocol):
+    """What one node may grant of one budget."""
+
+    def take(self, amount: int, now: float) -> bool:
+        """Takes an amount for a reservation, whole or not at all."""
+
+    def give(self, amount: int, now: float) -> None:
+        """Gives back what a reservation did not need; a negative amount is an overrun that already happened."""
+
+
+@dataclass(slots=True)
+class FixedPart:
+    """The budget by the number of nodes. Overspend: none but overruns. Falsely refused: whatever is uneven."""
+    room: int
+
+    def take(self, amount: int, now: float) -> bool:
+        if amount > self.room:
+            return False
+        self.room -= amount
+        return True
+
+    def give(self, amount: int, now: float) -> None:
+        self.room += amount
+
+
+@dataclass(slots=True)
+class FollowedPart:
+    """The budget by this node's share of what all spent, as last heard. Overspend: shares that moved since."""
+    most: int
+    nodes: int
+    own: int = 0
+    all_spent: int = 0       # as last heard
+    own_then: int = 0        # own spending when that was said
+
+    def heard(self, all_spent: int, own_then: int) -> None:
+        self.all_spent, self.own_then = all_spent, own_then
+
+    def take(self, amount: int, now: float) -> bool:
+        share = max(self.own_then / self.all_spent, 0.2 / self.nodes) if self.all_spent else 1 / self.nodes
+        if self.own + amount > self.own_then + share * (self.most - self.all_spent):
+            return False
+        self.own += amount
+        return True
+
+    def give(self, amount: int, now: float) -> None:
+        self.own -= amount
+
+
+@dataclass(slots=True)
+class Lease:
+    """A node's side of the leases on one budget. Times in seconds, on any steady clock.
+
+    It holds what it uses in ``HORIZON`` seconds and two of its largest reservations, and returns what is more: what lies idle at
+    one node is refused at another. ``overdraft`` may be used while no lease comes; it is paid back from the next one. So a node
+    without a ledger goes on for that much, and all nodes together overspend by at most the nodes times it.
+    """
+    overdraft: int
+    room: int = 0            # granted and not taken
+    used: int = 0            # taken less given back, since the period began
+    wanted: int = 0          # asked for and not answered; 0: nothing is asked
+    spent_out: bool = False  # the ledger has said that nothing is left
+    largest: float = 0.0     # reservation, lately
+    rate: float = 0.0        # tokens a second, lately
+    noted: float = -1.0      # when the rate was last noted
+    since: int = 0           # taken since then
+    pause: float = -1.0      # not asked again before; of a budget that is spent little comes back
+
+    def take(self, amount: int, now: float) -> bool:
+        self.largest = max(self.largest, amount)
+        if amount > self.room + (0 if self.spent_out else self.overdraft):
+            return False
+        self.room -= amount
+        self.used += amount
+        self.since += amount
+        return True
+
+    def give(self, amount: int, now: float) -> None:
+        self.room += amount
+        self.used -= amount
+
+    def ask(self, now: float) -> int:
+        """How much to ask the ledger for now; below 0: how much to return; 0: nothing. What is asked for counts as asked until
+        ``granted``."""
+        if self.noted < 0:
+            self.noted = now
+        past = now - self.noted
+        if past >= RATE_OVER:
+            self.rate += (self.since / past - self.rate) * min(1.0, past / HORIZON)
+            self.largest *= FADE
+            self.noted, self.since = now, 0
+        target = round(max(2 * self.largest, HORIZON * self.rate))
+        if self.wanted:
+            return 0
+        if self.room > 2 * target + 1 and not self.spent_out:
+            return target - self.room
+        if self.room * 2 >= target and self.room > 0 or now < self.pause:
+            return 0
+        self.wanted = max(1, target - self.room)
+        return self.wanted
+
+    def returned(self, amount: int) -> None:
+        """So much goes back to the ledger."""
+        self.room -= amount
+
+    def granted(self, amount: int, left: int, now: float) -> None:
+        """The ledger's answer; ``left`` is what remains for all after it."""
+        self.wanted = 0
+        self.room += amount
+        self.spent_out = amount == 0 and left <= 0
+        self.pause = now + SPENT_PAUSE if self.spent_out else -1.0
+
+    def unanswered(self) -> None:
+        """The ledger did not answer."""
+        self.wanted = 0
+
+    def renewed(self) -> None:
+        """A new period: what was leased of the old one is void, what was overdrawn of it is not carried over."""
+        self.room, self.used, self.spent_out, self.wanted, self.pause = 0, 0, False, 0, -1.0
+
+
+@dataclass(slots=True)
+class Held:
+    """What one node has of one budget, at the ledger."""
+    leased: int = 0
+    used: int = 0
+    life: str = ""
+
+
+@dataclass(slots=True)
+class Grantor:
+    """The ledger's side of the leases on one budget, for one period.
+
+    ``most`` is never exceeded by what is leased in all: with leases of L(i) and overdrafts of d at N nodes, all spend at
+    most sum L(i) + N d <= most + N d, plus overruns of reservations that were estimated too low.
+    """
+    most: int
+    held: dict[str, Held] = field(default_factory=dict)
+    seen: dict[str, float] = field(default_factory=dict)
+    closed: int = 0          # leased in lives that have ended, and taken as used
+
+    @property
+    def out(self) -> int:
+        return self.closed + sum(h.leased for h in self.held.values())
+
+    def ask(self, node: str, life: str, wanted: int, used: int, now: float) -> tuple[int, int]:
+        """Grants what it may. Returns the grant and what is left after it."""
+        self.seen[node] = now
+        mine = self.held.get(node)
+        if mine is None or mine.life != life:
+            if mine is not None:  # what the last life took of its lease nobody knows: it counts as used
+                self.closed += mine.leased
+            mine = self.held[node] = Held(life=life)
+        if used > mine.leased:    # overdrawn: paid from what is left
+            mine.leased = used
+        mine.used = max(mine.used, used)
+        left = self.most - self.out
+        sharing = sum(now - at < SEEN_FOR for at in self.seen.values())
+        fair = max(round(LEASE_PART * left / sharing), round(LEAST_PART * self.most), 1)
+        grant = max(0, min(wanted, fair, left))
+        mine.leased += grant
+        return grant, self.most - self.out
+
+    def give_back(self, node: str, life: str, amount: int) -> None:
+        """A node that stops in order returns what it has not taken."""
+        mine = self.held.get(node)
+        if mine and mine.life == life:
+            mine.leased -= max(0, min(amount, mine.leased - mine.used))
