--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -50,7 +50,7 @@
     if standins:
         from ..standins.beside import start_for
         start_for(form)
-    sys.exit(run(form))
+    sys.exit(run(form, settings))
 
 
 @main.group("settings")
--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -81,6 +81,20 @@
         host, port = self.address
         self.log("listening", level="info", reason=f"{host}:{port}")
 
+    def reload_budgets(self, settings: NodeSettings) -> None:
+        """Takes over tenants and budgets; nothing else, and no connection is dropped.
+
+        Raises:
+            BadSettings: the tree does not stand; the old one stays.
+        """
+        if not self.books:
+            raise BadSettings(["ledger.path: this node keeps no ledger"])
+        try:
+            self.books.keeper.replant(Tree(settings.tenants | load_tenants(settings.tenants_file)), self.books.wall())
+        except ValueError as wrong:
+            raise BadSettings([str(wrong)]) from None
+        self.log("budgets reloaded", level="info", reason=f"{len(self.books.keeper.tree.tenants)} tenants")
+
     def stop(self) -> Deferred[None]:
         """Takes nothing new; answers what was taken; lets go of what is held; closes. Fires when all is done."""
         if self._stopping is not None:
--- a/aniserudder/daemon/serve.py
+++ b/aniserudder/daemon/serve.py
@@ -2,18 +2,19 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Callable
 
 from twisted.internet import reactor
 from twisted.internet.error import CannotListenError
 
-from ..settings import BadSettings, NodeSettings
+from ..settings import BadSettings, NodeSettings, load
 from .node import RunningNode
 
 
-def serve(settings: NodeSettings, ready: Callable[[RunningNode], None] | None = None) -> int:
+def serve(settings: NodeSettings, path: str = "") -> int:
     """Runs until SIGTERM or SIGINT; a second signal does not hurry it. Returns the exit code.
 
+    SIGHUP reads the budgets anew from ``path``; a file that cannot be used changes nothing.
+
     Raises:
         BadSettings: an address cannot be had, or event names cannot be used.
     """
@@ -33,8 +34,14 @@
 
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
-    if ready:
-        ready(node)
+
+    def on_hangup() -> None:
+        try:
+            node.reload_budgets(load(path))
+        except BadSettings as wrong:
+            node.log("reload refused", level="error", reason=wrong.problems[0])
+
+    signal.signal(signal.SIGHUP, lambda number, frame: reactor.callFromThread(on_hangup))
     reactor.run(installSignalHandlers=False)
     node.close_record()
     return 0
--- a/aniserudder/ledger/store.py
+++ b/aniserudder/ledger/store.py
@@ -14,7 +14,7 @@
 
 import xxhash
 
-from ..tenants.billing import Folded, Line, Price, Tokens, Try, bill, operations
+from ..tenants.billing import KEY_FOR, Folded, Line, Price, Tokens, Try, bill, operations
 from . import entries
 from .entries import Entry, Sent, Taken, Told
 
@@ -204,7 +204,9 @@
         open_seqs = {s.seq for s in self.pending()}
         fold, keep = [], set()
         for tried in operations(self.tries().values(), recognise):
-            done = all(t.final and t.ended + recognise < before and t.seq not in open_seqs for t in tried)
+            # A try that may still come has to find its operation, or it would be charged anew.
+            done = all(t.final and t.ended + (KEY_FOR if t.keyed else recognise) < before and t.seq not in open_seqs
+                       for t in tried)
             if done:
                 fold.append(tried)
             else:
--- a/aniserudder/tenants/billing.py
+++ b/aniserudder/tenants/billing.py
@@ -18,6 +18,7 @@
 CENT = Decimal("0.0001")
 SERVED = "generated"
 S = 1_000_000
+KEY_FOR = 86_400 * S  # a client's key names the same operation for so long after its last try
 
 
 @dataclass(slots=True)
@@ -127,10 +128,11 @@
         group.sort(key=lambda t: (t.at, t.seq))
         present: list[Try] = []
         for one in group:
-            if present and not one.keyed:
-                last = present[-1]
+            if present:
+                waited = one.at - max(present[-1].ended, present[-1].at)
                 # Without a key, what follows a full answer, or comes late, is a new wish in the same words.
-                if any(t.final == SERVED for t in present) or one.at - max(last.ended, last.at) > recognise:
+                new = waited > KEY_FOR if one.keyed else waited > recognise or any(t.final == SERVED for t in present)
+                if new:
                     found.append(present)
                     present = []
             present.append(one)
--- a/aniserudder/tenants/keeper.py
+++ b/aniserudder/tenants/keeper.py
@@ -131,13 +131,16 @@
             account.spent.add(due)
             self._soft(account)
 
-    def lower(self, budget: Budget, now: int) -> None:
-        """A budget was changed by reload. What is reserved stays reserved; only what comes next is refused."""
-        account = self.accounts.get(budget.name)
-        if account:
-            if isinstance(account.part, FixedPart):
-                account.part.room += budget.most - account.budget.most
-            account.budget = budget
+    def replant(self, tree: Tree, now: int) -> None:
+        """Another tree, by reload. What is reserved stays reserved; only what comes next meets the new budgets."""
+        self.tree = tree
+        budgets = {b.name: b for t in tree.tenants.values() for b in t.budgets}
+        for name, account in self.accounts.items():
+            budget = budgets.get(name)
+            if budget:
+                if isinstance(account.part, FixedPart):
+                    account.part.room += budget.most - account.budget.most
+                account.budget = budget
 
     def _free(self, made: Reservation, now: int) -> None:
         for account, amount in made.accounts:
