A restored ledger service gets again from the nodes what it lost

Need: with an older copy of the service's file nodes would have been refused for ever.

Change: the service answers how far it has a node's entries, and the node ships again from there.

Measured: a test goes back to an empty file; all operations are there once.

--- a/aniserudder/ledger/books.py
+++ b/aniserudder/ledger/books.py
@@ -337,7 +337,7 @@
                 account.part.granted(grant.granted, grant.left, self.reactor.seconds())
 
     def _shipped(self, status: int, body: bytes) -> None:
-        if status == 200:
+        if status in (200, 409):  # 409: the service's file was restored from an older copy, so they go again from there
             self.store.acknowledged(self.node, int(_dict(body)["upto"]))
 
     def _request(self, path: str, body: bytes, done: Callable[[int, bytes], None]) -> None:
--- a/aniserudder/ledger/service.py
+++ b/aniserudder/ledger/service.py
@@ -13,7 +13,7 @@
 from ..tenants.shares import Grantor, Held
 from ..wire.server import Bounds, Exchange, ServerFactory
 from .entries import Shipment
-from .store import LedgerFull, Store
+from .store import LedgerFull, Missing, Store
 
 
 class Ask(msgspec.Struct):
@@ -122,12 +122,17 @@
                     exchange.reply(200, _encode({"grants": grants}))
                 case "/v1/entries":
                     sent = _shipment(bytes(exchange.body))
-                    upto = self.store.receive(sent.node, sent.after, [(r.number, bytes(r.body)) for r in sent.rows])
-                    exchange.reply(200, _encode({"upto": upto}))
+                    status = 200
+                    try:
+                        upto = self.store.receive(sent.node, sent.after, [(r.number, bytes(r.body)) for r in sent.rows])
+                    except Missing as gap:  # this file is older than what the node remembers: it was restored
+                        self.log("entries are missing", level="warning", reason=str(gap))
+                        status, upto = 409, self.store.shipped(sent.node)
+                    exchange.reply(status, _encode({"upto": upto}))
                 case _:
                     exchange.reply(404, b'{"error":"no such path"}')
         except (msgspec.DecodeError, ValueError) as wrong:
-            exchange.reply(400, _encode({"error": str(wrong)[:300], "upto": -1}))
+            exchange.reply(400, _encode({"error": str(wrong)[:300]}))
         except LedgerFull as full:
             self.log("ledger cannot be written", level="error", reason=str(full))
             exchange.reply(507, _encode({"error": str(full)}))
--- a/aniserudder/ledger/store.py
+++ b/aniserudder/ledger/store.py
@@ -37,6 +37,10 @@
     """A ledger that cannot be opened or does not add up."""
 
 
+class Missing(Exception):
+    """Shipped entries do not follow what is here."""
+
+
 class LedgerFull(Exception):
     """An entry could not be written; nothing of the call was."""
 
@@ -98,11 +102,12 @@
 
         Raises:
             LedgerFull: they could not be written.
-            ValueError: some are missing before them, or one cannot be read.
+            Missing: some are missing before them; they have to come again from ``shipped`` on.
+            ValueError: one cannot be read.
         """
         upto = self.shipped(node)
         if after > upto:
-            raise ValueError(f"{node}: entries after {after} came, and only those up to {upto} are here")
+            raise Missing(f"{node}: entries after {after} came, and only those up to {upto} are here")
         fresh = []
         for number, body in rows:
             if number <= upto:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -17,8 +17,8 @@
 from aniserudder.ledger.books import bounded
 from aniserudder.ledger.entries import Ended, Sent, Taken, Told, encode, put_together
 from aniserudder.ledger.service import Ask, Asks, LedgerService
-from aniserudder.ledger.store import LedgerBroken, LedgerFull, Store
-from stand import on_loop, until
+from aniserudder.ledger.store import LedgerBroken, LedgerFull, Missing, Store
+from stand import on_loop, sleep, until
 from test_sockets import Site, engine
 
 S = 1_000_000
@@ -165,7 +165,7 @@
     rows = [(n + 1, encode(e)) for n, e in enumerate(some(1) + some(2))]
     assert store.receive("n1", 0, rows[:5]) == 5 and store.receive("n1", 0, rows) == 8 and store.receive("n1", 0, rows) == 8
     assert whole(store)["t", "draft"][0] == 2 and store.verify().rows == 8
-    with pytest.raises(ValueError, match="only those up to 8"):
+    with pytest.raises(Missing, match="only those up to 8"):
         store.receive("n1", 9, [(10, rows[0][1])])
     store.close()
 
@@ -271,6 +271,30 @@
     assert line.charged.written == written > 0 and not line.unconfirmed
 
 
+def test_a_restored_service_gets_again_what_it_lost(tmp_path):
+    """A node ships; the service goes back to an older copy; all is there again, once."""
+    async def scene():
+        def service(name, port=0):
+            made = LedgerService(reactor, Store(tmp_path / name), lambda *a, **k: None)
+            return made, made.start("127.0.0.1", port)[1]
+        first, port = service("new")
+        s = Site([engine("m1", "mixed")], more=f"ledger: {{path: '{tmp_path}/n.ledger', service: '127.0.0.1:{port}', lease_ms: 20}}")
+        await s.up()
+        for n in range(2):
+            view = await s.ask(ref=f"a{n}")
+            await until(lambda: view.over and s.node.books.quiet)
+        first.stop()
+        await sleep(0.05)
+        old, _ = service("old", port)  # the copy is as old as can be: empty
+        view = await s.ask(ref="a2")
+        await until(lambda: view.over and old.store.shipped("node") == s.node.books.store.last)
+        operations = whole(old.store)["", "note"][0]
+        await s.close()
+        old.stop()
+        return operations
+    assert on_loop(scene) == 3
+
+
 @pytest.mark.parametrize("command, said", [
     (["bills", "--period", "soon", "--ledger", "README.md"], "--period: found 'soon'"),
     (["bills", "--period", "2026", "--ledger", "nowhere"], "nowhere: No such file"),
