Connection admission: the door, its structures, descriptors and the entry queue

Need: one runaway client that reconnects in a loop must not starve known clients, nor a node run out of descriptors.

Change: admission (door, prefix trie, heavy hitters, timing wheel, descriptors, entry queue; no I/O), a gate in the listener, settings with their checks, reload on SIGHUP, measure admission, rehearse admission with a flood from a process of its own. A connection for an engine that gets no descriptor is 'not sent' and tells nothing of the engine.

Shedding a connection that had no transport yet was found by the descriptor test and mended.

--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -137,12 +137,21 @@
         click.echo(f"the rehearsal failed: {ran.trouble}", err=True)
         if not ran.lines:
             sys.exit(1)
-    verdict = judge.audit(judge.Record(ran.lines))
+    seen = judge.Record(ran.lines)
+    verdict = judge.audit(seen)
     report.show(verdict, Console(width=118))
     click.echo(f"decision records: {ran.replayed} calls replayed, "
                + (f"UNEQUAL: {ran.unequal}" if ran.unequal else "all decided alike"))
     click.echo(report.last_line(verdict))
     differs = bool(agreed) and report.show_bills(agreed[0], Console(width=150))
+    if seen.floods:
+        for line in ran.lines:
+            if line["what"] == "flooded":
+                click.echo(f"flood of {line['node']}: {line['opened']} connections opened, {line['closed']} of them closed by the node, "
+                           f"{line['failed']} failed, {line['peak']} at once at most")
+        last, harmed = report.admission_line(seen, verdict)
+        click.echo(last)
+        differs = differs or harmed
     sys.exit(1 if verdict.broken or ran.trouble or ran.unequal or differs else 0)
 
 
@@ -251,6 +260,34 @@
                f"budgets each way up, {written:.1f} us with the six entries of a sequence written")
 
 
+@measure.command("admission")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--count", default=100_000, show_default=True, type=click.IntRange(1000), help="Lookups, timers, connections.")
+def measure_admission(seed: int, count: int) -> None:
+    """The structures made for admission against plain ones, and the orders of the entry queue."""
+    from rich.console import Console
+    from rich.table import Table
+
+    from ..measure import admission as made
+    shown = Table(title="made for the job against plain", title_justify="left")
+    for name in ("what", "made", "plain", ""):
+        shown.add_column(name)
+    rows = [*made.prefixes(seed, 10_000, count), *made.timers(seed, count), *made.hitters(seed, 3 * count, 1024),
+            *made.accepting(seed, count), *made.memory(2000)]
+    for row in rows:
+        shown.add_row(row.what, row.made, row.plain, row.note)
+    console = Console(width=150)
+    console.print(shown)
+    queue = Table(title="utility taken up in time, of all that came (simulated time)", title_justify="left")
+    queue.add_column("load")
+    found = made.orders(seed)
+    for order in found[0][3]:
+        queue.add_column(order.value, justify="right")
+    for name, _, _, shares in found:
+        queue.add_row(name, *(f"{share:.3f}" for share in shares.values()))
+    console.print(queue)
+
+
 @main.group()
 def standin() -> None:
     """Run a stand-in engine or roster server by itself."""
--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -57,7 +57,9 @@
             self.books.engines = engines
         self.router = Router(settings.decisions_settings(), seed, engines, reactor, recorder, self.log, settings.node)
         self.follower = follow(self.router, self.pool.locate, settings.roster, reactor, self.log)
-        self.messages = Messages(settings, self.router, reactor, self.log, boot, self.books)
+        self.messages = Messages(settings, self.router, reactor, self.log, boot, self.books,
+                                 lambda: self.pool.open)
+        self.pool.on_exhausted = self.messages.gate.exhausted
         self._port: IListeningPort | None = None
         self._stopping: Deferred[None] | None = None
 
@@ -75,25 +77,27 @@
         """
         listen = self.settings.messages.listen
         self._port = self.reactor.listenTCP(listen.port, self.messages.factory, interface=listen.host, backlog=1024)
+        self.messages.gate.start(self._port)
         self.follower.start()
         if self.books:
             self.books.start()
         host, port = self.address
         self.log("listening", level="info", reason=f"{host}:{port}")
 
-    def reload_budgets(self, settings: NodeSettings) -> None:
-        """Takes over tenants and budgets; nothing else, and no connection is dropped.
+    def reload(self, settings: NodeSettings) -> None:
+        """Takes over budgets and the rules of admission; nothing else, and no connection is dropped.
 
         Raises:
-            BadSettings: the tree does not stand; the old one stays.
+            BadSettings: the tree of tenants does not stand; all stays as it was.
         """
-        if not self.books:
-            raise BadSettings(["ledger.path: this node keeps no ledger"])
         try:
-            self.books.keeper.replant(Tree(settings.tenants | load_tenants(settings.tenants_file)), self.books.wall())
+            tree = Tree(settings.tenants | load_tenants(settings.tenants_file))
         except ValueError as wrong:
             raise BadSettings([str(wrong)]) from None
-        self.log("budgets reloaded", level="info", reason=f"{len(self.books.keeper.tree.tenants)} tenants")
+        if self.books:
+            self.books.keeper.replant(tree, self.books.wall())
+        self.messages.gate.reload(settings.admission)
+        self.log("reloaded", level="info", reason=f"{len(tree.tenants)} tenants, {len(settings.admission.prefixes)} prefixes")
 
     def stop(self) -> Deferred[None]:
         """Takes nothing new; answers what was taken; lets go of what is held; closes. Fires when all is done."""
@@ -119,6 +123,7 @@
         return done
 
     def _close_door(self, closed: Deferred[None]) -> None:
+        self.messages.gate.stop()
         if self._port:
             self._port.stopListening()
         self.messages.factory.stop()
--- a/aniserudder/daemon/serve.py
+++ b/aniserudder/daemon/serve.py
@@ -13,7 +13,7 @@
 def serve(settings: NodeSettings, path: str = "") -> int:
     """Runs until SIGTERM or SIGINT; a second signal does not hurry it. Returns the exit code.
 
-    SIGHUP reads the budgets anew from ``path``; a file that cannot be used changes nothing.
+    SIGHUP reads budgets and admission anew from ``path``; a file that cannot be used changes nothing.
 
     Raises:
         BadSettings: an address cannot be had, or event names cannot be used.
@@ -37,7 +37,7 @@
 
     def on_hangup() -> None:
         try:
-            node.reload_budgets(load(path))
+            node.reload(load(path))
         except BadSettings as wrong:
             node.log("reload refused", level="error", reason=wrong.problems[0])
 
--- a/aniserudder/engines/pool.py
+++ b/aniserudder/engines/pool.py
@@ -4,7 +4,8 @@
 
 =========== ==============================================================================================
 no route    no connection within the connect time: refused, unreachable or timed out; or no address is known
-not sent    a connection was there and went before a byte of the request was written to it
+not sent    a connection was there and went before a byte of the request was written to it, or this process had no
+            descriptor left for one
 full        503 or 429 with ``error.code`` full, or 503 draining
 no state    409 with ``error.code`` no_state
 error       any other status, an error event, an answer that breaks the protocol or is too long
@@ -18,6 +19,7 @@
 """
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -34,6 +36,9 @@
 from . import codec
 
 
+NO_DESCRIPTOR = "no descriptor is left"
+
+
 @dataclass(slots=True, eq=False)
 class Place:
     """One engine's address and the idle connections to it."""
@@ -166,6 +171,8 @@
         self.runs: dict[Attempt, Run] = {}
         self.counts = PoolCounts()
         self.letting_go = 0  # releases on their way
+        self.open = 0        # connections that are open or being made
+        self.on_exhausted: Callable[[], None] = lambda: None  # told when there was no descriptor for a connection
         self.closed = False
 
     def locate(self, engine: str, address: str) -> None:
@@ -191,7 +198,9 @@
                 run.finish(codec.Ended(Outcome.NOT_SENT, reason="the connection went before the request"))
 
         def failed(reason: str) -> None:
-            run.finish(codec.Ended(Outcome.NO_ROUTE, reason=reason))
+            # Without a descriptor of our own nothing was sent, and it tells nothing of the engine.
+            ours = reason == NO_DESCRIPTOR
+            run.finish(codec.Ended(Outcome.NOT_SENT if ours else Outcome.NO_ROUTE, reason=reason))
 
         self._connected(attempt.engine, ready, failed)
 
@@ -285,12 +294,19 @@
         factory = Factory.forProtocol(lambda: ClientConnection(f"{place.host}:{place.port}", self._free, self._gone))
         factory.noisy = False
 
+        self.open += 1
+
         def made(connection: ClientConnection) -> None:
             connection.place = place
             ready(connection)
 
         def not_made(failure: Failure) -> None:
             self.counts.connect_failures += 1
+            self.open -= 1
+            if getattr(failure.value, "osError", None) in (errno.EMFILE, errno.ENFILE) or getattr(
+                    failure.value, "errno", None) in (errno.EMFILE, errno.ENFILE):
+                self.on_exhausted()
+                return failed(NO_DESCRIPTOR)
             failed(f"no connection: {failure.value.__class__.__name__}")
 
         endpoint.connect(factory).addCallbacks(made, not_made)
@@ -308,6 +324,7 @@
 
     def _gone(self, connection: ClientConnection) -> None:
         place: Place | None = connection.place
+        self.open -= 1
         if place:
             place.idle = [(c, since) for c, since in place.idle if c is not connection]
 
--- a/aniserudder/measure/overhead.py
+++ b/aniserudder/measure/overhead.py
@@ -95,6 +95,8 @@
     settings.write_text(yaml.safe_dump({
         "node": "measured", "zone": "here", "seed": 1, "log_level": "error",
         "messages": {"listen": {"port": ports["node"]}, "default_type": "short"},
+        "admission": {"address_connections": 1500, "address_new_per_s": 100_000, "network_connections": 1500,
+                      "address_in_flight": 3000},
         "kinds": {"mixed": {"role": "mixed"}},
         "types": {"short": {"effect": "repeatable", "latency_slo_ms": 5000, "abandon_ms": 20000}},
         "roster": {"rows": [{"engine": "m1", "address": f"127.0.0.1:{ports['engine']}", "kind": "mixed",
--- a/aniserudder/messages/server.py
+++ b/aniserudder/messages/server.py
@@ -4,16 +4,19 @@
 import math
 import os
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 
 from twisted.internet.interfaces import IReactorTime
 
-from ..core.ports import Usage
+from ..admission.door import Refused, Why
+from ..core.ports import Request, Usage
 from ..core.router import Router
 from ..ledger.books import Books, MeteredAnswer
 from ..settings.schema import NodeSettings
 from ..tenants.keeper import Refusal
 from ..wire.server import Bounds, Exchange, ServerFactory
 from . import codec
+from .gate import REFUSED_S, Gate
 from .mapping import Mapping, NoKey
 from .vocabulary import Vocabulary
 
@@ -23,10 +26,11 @@
 class ClientAnswer:
     """One client's side of a sequence (``core.ports.Answer``), streamed or whole."""
 
-    __slots__ = ("exchange", "stream", "whole", "pieces", "messages", "estimated")
+    __slots__ = ("exchange", "stream", "whole", "pieces", "messages", "estimated", "ticket")
 
     def __init__(self, messages: Messages, exchange: Exchange, stream: codec.Stream, whole: bool,
-                 estimated: int) -> None:
+                 estimated: int, ticket: object) -> None:
+        self.ticket = ticket
         self.messages, self.exchange, self.stream, self.whole = messages, exchange, stream, whole
         self.pieces: list[str] = []
         self.estimated = estimated
@@ -40,6 +44,7 @@
         self.exchange.write(self.stream.text(piece))
 
     def generated(self, reason: str, usage: Usage) -> None:
+        self.messages.gate.answered(self.ticket)
         self.messages.mapping.estimate.counted(self.estimated, usage.read)
         if self.whole:
             body = codec.whole(self.stream.id, self.stream.model, "".join(self.pieces), reason, usage)
@@ -56,6 +61,7 @@
         self._failed(502, "aborted", reason, 0)
 
     def _failed(self, status: int, kind: str, reason: str, come_back: int) -> None:
+        self.messages.gate.answered(self.ticket)
         millis = math.ceil(come_back / 1000)
         if self.exchange.began:
             self.exchange.write(self.stream.failed(kind, reason, millis))
@@ -73,6 +79,14 @@
         return [("x-sequence-id", self.stream.id)]
 
 
+@dataclass(slots=True, eq=False)
+class Comer:
+    """A request that was let in and is not taken up yet."""
+    exchange: Exchange
+    request: Request
+    ticket: object
+
+
 class Messages:
     """The server side of the messages API for one router.
 
@@ -83,10 +97,11 @@
         log: of the node.
         boot: names this start of the node in sequence ids, which never come twice.
         books: reserve and bill; None: nobody is billed and no budget is kept.
+        engines: how many connections to engines there are.
     """
 
     def __init__(self, settings: NodeSettings, router: Router, clock: IReactorTime, log: Callable[..., None],
-                 boot: str = "", books: Books | None = None) -> None:
+                 boot: str = "", books: Books | None = None, engines: Callable[[], int] = lambda: 0) -> None:
         self.books = books
         self.settings, self.router, self.log = settings, router, log
         self.mapping = Mapping(settings)
@@ -95,14 +110,18 @@
         self.stopping = False
         self.turned_away = 0  # requests that were never taken
         limits = settings.limits
+        rules = settings.admission
+        self.gate = Gate(rules, clock, log, self._take_up, self._too_late, engines)
         bounds = Bounds(limits.header_bytes, limits.body_bytes, limits.request_ms / 1000, limits.client_idle_ms / 1000,
-                        limits.client_buffer_bytes)
-        self.factory = ServerFactory(clock, bounds, self._asked)
+                        rules.show_ms / 1000, limits.client_buffer_bytes)
+        few = Bounds(limits.header_bytes, limits.body_bytes, REFUSED_S, REFUSED_S, REFUSED_S, 65_536)
+        self.factory = ServerFactory(clock, bounds, self._asked, self.gate, few)
         self._count = 0
 
     def stop(self) -> None:
         """Takes no new sequence; those taken are answered, and whoever comes is told."""
         self.stopping = True
+        self.gate.stopping()
         self.factory.last_answers()
 
     def _asked(self, exchange: Exchange) -> None:
@@ -114,8 +133,9 @@
         come_back = [("retry-after-ms", str(round(self.settings.limits.max_come_back_ms))), ("retry-after", "1")]
         if self.stopping:
             return self._turn_away(exchange, 503, "rejected", "the node is stopping", come_back)
-        if len(self.router.flights) >= self.settings.limits.in_flight:
-            return self._turn_away(exchange, 503, "rejected", "the node holds all it may", come_back)
+        connection = exchange.connection
+        if connection.refused is not None:
+            return self._refuse_at_door(exchange, connection.refused)
         try:
             asked = codec.decode(bytes(exchange.body))
             request = self.mapping.request(asked, exchange.headers)
@@ -123,20 +143,55 @@
             return self._turn_away(exchange, 400, "bad_request", str(wrong))
         except NoKey as wrong:
             return self._turn_away(exchange, 401, "no_key", str(wrong))
+        refused = self.gate.asks(connection.ticket, request.prompt.customer)
+        if refused:
+            return self._refuse_at_door(exchange, refused)
+        exchange.body = bytearray()  # the request holds what is needed of it
+        comer = Comer(exchange, request, connection.ticket)
+        exchange.gone = lambda reason: self._left_waiting(comer)
+        row = self.settings.types[request.prompt.traffic_type]
+        slo = (row.latency_slo_ms + row.slo_ms_per_1000_tokens * request.prompt.tokens / 1000) / 1000
+        self.gate.enter(comer, min(slo, request.prompt.time_left / 1_000_000), row.utility)
+
+    def _take_up(self, comer: Comer, waited: int) -> None:
+        """The request's turn: from here on it is a sequence, if its budget lets it."""
+        exchange, request = comer.exchange, comer.request
+        if waited:
+            request = replace(request, prompt=replace(request.prompt, time_left=max(1, request.prompt.time_left - waited)))
         self._count += 1
         id = f"seq-{self.boot}-{self._count}"
-        answer = ClientAnswer(self, exchange, codec.Stream(id, asked.model, self.words), request.whole,
-                              request.prompt.tokens)
-        exchange.body = bytearray()  # the request holds what is needed of it
+        stream = codec.Stream(id, request.model, self.words)
+        answer = ClientAnswer(self, exchange, stream, request.whole, request.prompt.tokens, comer.ticket)
         if self.books:
             refusal = self.books.reserve(id, request)
             if refusal:
+                self.gate.answered(comer.ticket)
                 return self._refuse(exchange, refusal)
             answer = MeteredAnswer(self.books, answer, id)
-        exchange.gone = lambda reason: self._left(id)
+        exchange.gone = lambda reason: self._left(id, comer.ticket)
         self.router.take(id, request, answer)
 
-    def _left(self, id: str) -> None:
+    def _too_late(self, comer: Comer) -> None:
+        """It waited longer than its time allowed: it never was a sequence."""
+        self.gate.answered(comer.ticket)
+        come_back = round(self.settings.limits.max_come_back_ms)
+        self._turn_away(comer.exchange, 503, "rejected", "the node cannot take it up in time",
+                        [("retry-after", "1"), ("retry-after-ms", str(come_back))])
+
+    def _left_waiting(self, comer: Comer) -> None:
+        self.gate.leaves(comer)
+        self.gate.answered(comer.ticket)
+
+    def _refuse_at_door(self, exchange: Exchange, refused: Refused) -> None:
+        """Told, and not taken: 429 where it is the client's own doing, 503 where the node is full."""
+        self.turned_away += 1
+        status = 503 if refused.why in (Why.NODE, Why.NODE_BUSY, Why.STOPPING) else 429
+        millis = math.ceil(refused.come_back * 1000)
+        exchange.reply(status, codec.failure("rejected", refused.why.value, millis),
+                       [("retry-after", str(math.ceil(refused.come_back))), ("retry-after-ms", str(millis))])
+
+    def _left(self, id: str, ticket: object) -> None:
+        self.gate.answered(ticket)
         self.router.client_left(id)
         if self.books:
             self.books.final(id, "left")
--- a/aniserudder/rehearsal/audit.py
+++ b/aniserudder/rehearsal/audit.py
@@ -103,6 +103,7 @@
         self.downs: dict[str, list[tuple[int, int]]] = defaultdict(list)
         self.by_engine: dict[str, list[Attempt]] = defaultdict(list)
         self.effects: list[dict[str, Any]] = []
+        self.floods: list[tuple[int, int, str]] = []
         self.stalls: list[tuple[int, int]] = []     # from, to: the witness itself was too busy to look
         self.end = 0
         out: dict[tuple[str, str], list[Attempt]] = defaultdict(list)
@@ -153,6 +154,8 @@
                         self.downs[line["engine"]].append((down.pop(line["engine"]), at))
                 case "engine_down":
                     down.setdefault(line["engine"], at)
+                case "trouble" if line["trouble"] == "flood":
+                    self.floods.append((at, at + round(line["seconds"] * 1e6) + 1_000_000, f"node-{line['zone']}-"))
                 case "stalled":
                     self.stalls.append((at - line["us"], at))
                 case "fell":
@@ -186,6 +189,10 @@
         """A figure of the rules, in microseconds."""
         return round(self.day["rules"][name] * 1000)
 
+    def flooded(self, node: str, at: int) -> bool:
+        """Whether a runaway client was at that node then."""
+        return any(b <= at <= e and node.startswith(nodes) for b, e, nodes in self.floods)
+
     def stalled(self, since: int, until: int) -> int:
         """How long the witness did not look within that time and just before it, in microseconds."""
         return sum(min(e, until) - max(b, since - (e - b)) for b, e in self.stalls if b < until and e > since)
@@ -252,6 +259,9 @@
             broke("something came after its final answer")
         if not one.finals:
             lost = [e for e in one.ends if e["what"] in ("lost", "malformed")]
+            if lost and record.flooded(node, at) and not one.attempts and one.first < 0 and not one.asked["customer"]:
+                exempt += 1  # a stranger that was turned away at the door of a flooded node: it was never taken
+                continue
             if lost and not record.died(node, at):
                 broke("the connection ended without a final answer", lost[0]["at"])
             elif not lost and not [e for e in gone if e["what"] == "left"] and not record.died(node, at):
--- a/aniserudder/rehearsal/plan.py
+++ b/aniserudder/rehearsal/plan.py
@@ -72,13 +72,14 @@
 
 ON_NODES = {"balancer_crash", "node_stop"}
 ON_TRAFFIC = {"burst", "heavy_tail", "hot_key", "give_up", "roster_away", "ledger_crash"}
+ON_A_ZONE = {"zone_cut", "flood"}
 
 
 def _strikes(day: Day, chance: Random, engines: list[EngineSpec], nodes: list[str]) -> list[Strike]:
     strikes = []
     for fault in sorted(day.troubles, key=lambda f: f.at):
         strike = Strike(fault)
-        if fault.trouble == "zone_cut":
+        if fault.trouble in ON_A_ZONE:
             strike.zone = fault.zone or chance.choice(day.zones)
         elif fault.trouble in ON_NODES:
             strike.nodes = sorted(chance.sample(nodes, _count(fault, len(nodes))))
@@ -142,13 +143,14 @@
     customers = day.traffic.customers
     customer = chance.choices(list(customers), customers.values())[0] if len(customers) > 1 else next(iter(customers))
     marked = t.effect == "tokened" or day.traffic.marked > 0 and chance.random() < day.traffic.marked
+    stranger = day.traffic.strangers > 0 and chance.random() < day.traffic.strangers
     leaves = chance.random() < (leaving[0].share if leaving else day.traffic.leaves)
     backoff = chance.uniform(*day.traffic.backoff_ms) / 1000
     return Op(number, at, chance.choice(day.zones), name, t.effect, session, system, messages,
               _between(chance, t.output_tokens), round((t.latency_slo_ms + t.slo_ms_per_1000_tokens * thousands) * 1000),
               round(abandon * 1000), day.traffic.tries, chance.random() < t.streamed, chance.random(),
-              chance.uniform(0.02, 0.3) if leaves else 0.0, backoff, customer,
-              f"{customer}-key-1", f"op-{number}" if marked else "")
+              chance.uniform(0.02, 0.3) if leaves else 0.0, backoff, "" if stranger else customer,
+              "" if stranger else f"{customer}-key-1", f"op-{number}" if marked else "")
 
 
 def _between(chance: Random, span: list[float]) -> int:
--- a/aniserudder/rehearsal/report.py
+++ b/aniserudder/rehearsal/report.py
@@ -4,7 +4,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from .audit import RULES, Verdict
+from .audit import RULES, Record, Verdict
 from .bills import Agreement
 
 SHOWN = 12  # findings that are printed
@@ -68,3 +68,19 @@
     print(f"bills: {'agree' if good else 'DIFFER'}, {tenants} tenants, {agreed.sequences} sequences, "
           f"difference {agreed.difference}")
     return not good
+
+
+def admission_line(record: Record, verdict: Verdict) -> tuple[str, bool]:
+    """Known clients' tries at flooded nodes, while flooded, against those at the others. True: the flood harmed them."""
+    sides: dict[bool, list[bool]] = {True: [], False: []}
+    for one in record.tries.values():
+        at, node = one.asked["at"], one.asked["node"]
+        if one.asked["customer"] and any(b <= at <= e for b, e, _ in record.floods) and not any(
+                e["what"] == "left" for e in one.ends):
+            good = bool(one.finals) and one.finals[0]["kind"] == "generated" and 0 <= one.first - at <= one.asked["slo_us"]
+            sides[record.flooded(node, at)].append(good)
+    with_flood, without = sides[True], sides[False]
+    kept = 5 - len(verdict.broken)
+    harmed = not with_flood or sum(with_flood) / len(with_flood) < 0.95 * sum(without) / max(1, len(without))
+    return (f"admission: known clients {sum(with_flood)} of {len(with_flood)} within SLO (without flood {sum(without)} of "
+            f"{len(without)}); rules: {kept} kept, {len(verdict.broken)} broken"), harmed
--- a/aniserudder/rehearsal/stage.py
+++ b/aniserudder/rehearsal/stage.py
@@ -5,6 +5,7 @@
 """
 from __future__ import annotations
 
+import json
 import os
 import signal
 import socket
@@ -30,7 +31,7 @@
 from ..standins.roster import StandinRoster
 from ..standins.witness import Witness
 from ..wire.text import free_port
-from .day import Day
+from .day import Day, Fault
 from .plan import Plan, Strike
 
 READY_WITHIN = 20.0   # seconds for the nodes to listen
@@ -70,6 +71,20 @@
         self.ended.callback(-9 if code is None else code)
 
 
+class FloodProcess(ProcessProtocol):
+    """A runaway client's process."""
+
+    def __init__(self, done: Callable[[dict[str, int]], None]) -> None:
+        self.done, self.said = done, b""
+
+    def outReceived(self, data: bytes) -> None:
+        self.said += data
+
+    def processEnded(self, reason: Failure) -> None:
+        if self.said:
+            self.done(json.loads(self.said))
+
+
 class Stage:
     """One day on loopback.
 
@@ -129,7 +144,8 @@
             "customers": {c: {"keys": [f"{c}-key-1"]} for c in day.traffic.customers},
             "rules": {"answer_margin_ms": rules.answer_margin_ms, "let_go_ms": rules.let_go_ms,
                       "cold_share": rules.cold_share, "cold_ms": rules.cold_ms, "fall_multiple": rules.fall_multiple},
-            "limits": {"max_attempts": day.max_attempts}}
+            "limits": {"max_attempts": day.max_attempts},
+            "admission": day.admission.model_dump()}
         if day.ledger:
             form["tenants"] = {n: t.model_dump() for n, t in day.tenants.items()}
             form["ledger"] = {"path": str(self.folder / f"{seat.name}.ledger"), "service": f"127.0.0.1:{self.ledger_port}"}
@@ -142,8 +158,9 @@
         process = self.processes[seat.name] = NodeProcess(seat.name, log)
         process.ended.addCallback(self._ended, seat, process)
         self.witness.note("node_started", node=seat.name)
-        self.reactor.spawnProcess(process, sys.executable,
-                                  [sys.executable, "-m", "aniserudder", "serve", str(self._settings(seat))],
+        # The limit of descriptors is the shell's to set for what it becomes.
+        command = f'ulimit -n {self.day.descriptors} && exec "$0" -m aniserudder serve "$1"'
+        self.reactor.spawnProcess(process, "/bin/sh", ["/bin/sh", "-c", command, sys.executable, str(self._settings(seat))],
                                   env=os.environ | {"PYTHONUNBUFFERED": "1"})
 
     def _spawn_ledger(self) -> None:
@@ -153,6 +170,12 @@
             sys.executable, "-m", "aniserudder", "ledger", "serve", str(self.folder / "central.ledger"), "--port",
             str(self.ledger_port)], env=os.environ)
 
+    def _flood(self, seat: NodeSeat, fault: Fault, number: int) -> None:
+        out = FloodProcess(lambda counts: self.witness.note("flooded", node=seat.name, **counts))
+        self.reactor.spawnProcess(out, sys.executable, [
+            sys.executable, "-m", "aniserudder.standins.flood", seat.host, str(seat.port), str(fault.seconds),
+            str(round(fault.size)), f"127.0.9.{number + 1}"], env=os.environ)
+
     def _kill_ledger(self, seconds: float) -> None:
         if self.ledger and self.ledger.transport and self.ledger.transport.pid:
             self.ledger.transport.signalProcess("KILL")
@@ -289,6 +312,9 @@
                 self._swap(engines, fault)
             case "zone_cut":
                 self._cut(strike.zone, fault.seconds)
+            case "flood":
+                for number, seat in enumerate(s for s in self.seats if s.zone == strike.zone):
+                    self._flood(seat, fault, number)
             case "ledger_crash":
                 self._kill_ledger(fault.seconds)
             case "roster_away":
--- a/aniserudder/settings/schema.py
+++ b/aniserudder/settings/schema.py
@@ -7,9 +7,10 @@
 
 from datetime import date
 from decimal import Decimal
+from ipaddress import ip_network
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+from pydantic import BaseModel, ConfigDict, Field, field_validator, model_validator
 
 from ..decisions.interface import Effect, Role, Settings, TypeSettings
 
@@ -84,7 +85,6 @@
     request_ms: Annotated[float, Field(gt=0)] = Field(
         5_000, description="a client's request has to be complete within this time from its first byte")
     client_idle_ms: Annotated[float, Field(gt=0)] = Field(60_000, description="idle client connections are closed")
-    in_flight: Count = Field(4_096, description="sequences that a node holds at once; more are rejected")
     client_buffer_bytes: Count = Field(
         1_048_576, description="what may wait for one slow client; beyond it the sequence is aborted")
     stop_ms: Millis = Field(20_000, description="started streams get this long to finish when the node stops")
@@ -187,6 +187,61 @@
     lost_to: Literal["operator", "tenant"] = Field("operator", description="who bears work lost to failures")
 
 
+class PrefixRule(Part):
+    """Caps for each address of a network, in place of the general ones. 0: no cap."""
+    network: str
+    connections: Annotated[int, Field(ge=0)] = 0
+    new_per_s: Annotated[float, Field(ge=0)] = 0
+    in_flight: Annotated[int, Field(ge=0)] = 0
+
+    @field_validator("network")
+    @classmethod
+    def _is_one(cls, network: str) -> str:
+        try:
+            ip_network(network, strict=True)
+        except ValueError as wrong:
+            raise ValueError(f"found {network!r}, allowed: a network as 10.1.0.0/16 ({wrong})") from None
+        return network
+
+
+class Admission(Part):
+    """Who may come in. Known clients are those that show a customer's key."""
+    connections: Count = Field(2_000, description="open connections of the node")
+    reserve_connections: Annotated[int, Field(ge=0)] = Field(500, description="of these, those that strangers never get")
+    in_flight: Count = 4_096
+    reserve_in_flight: Annotated[int, Field(ge=0)] = 1_024
+    address_connections: Count = 64
+    address_new_per_s: Annotated[float, Field(gt=0)] = 50
+    address_in_flight: Count = 64
+    network_connections: Count = Field(512, description="of strangers of one /24 or /64")
+    client_connections: Count = 1_000
+    client_in_flight: Count = 1_000
+    prefixes: list[PrefixRule] = Field(default_factory=list)
+    show_ms: Annotated[float, Field(gt=0)] = Field(3_000, description="a fresh connection has to send a request within this")
+    chance_ms: Annotated[float, Field(ge=0)] = Field(
+        250, description="and is not closed to make room before this")
+    penalty_ms: Annotated[float, Field(gt=0)] = Field(500, description="first slowing of an offender; it doubles")
+    offences: Annotated[float, Field(gt=0)] = Field(20, description="refusals before an address is slowed")
+    friendly_s: Annotated[float, Field(ge=0)] = Field(
+        60, description="an address is not slowed for so long after a known client came from it")
+    watched: Count = Field(1_024, description="addresses that are watched at once")
+    refuse_with: Literal["answer", "reset"] = "answer"
+    refusing_most: Annotated[int, Field(ge=0)] = Field(
+        128, description="refused connections that are open at once to be answered; more are reset")
+    own_descriptors: Annotated[int, Field(ge=16)] = Field(256, description="kept for engines, roster, logs and storage")
+    entry_most: Count = Field(256, description="requests that may wait to be taken up")
+    entry_per_turn: Count = Field(16, description="requests that are taken up in one turn of the reactor")
+    entry_order: Literal["fifo", "lifo", "utility"] = "utility"
+
+    @model_validator(mode="after")
+    def _reserves_fit(self) -> Admission:
+        if self.reserve_connections >= self.connections:
+            raise ValueError("reserve_connections: leaves strangers none of connections")
+        if self.reserve_in_flight >= self.in_flight:
+            raise ValueError("reserve_in_flight: leaves strangers none of in_flight")
+        return self
+
+
 class NodeSettings(Part):
     """The whole form."""
     node: Name = "node"
@@ -205,6 +260,7 @@
     tenants_file: str = Field("", description="a JSON file of more tenants, for trees too large for this one")
     prices: list[PriceForm] = Field(default_factory=list)
     ledger: Ledger = Ledger()
+    admission: Admission = Admission()
     rules: Rules = Rules()
     limits: Limits = Limits()
     tokens: Tokens = Tokens()
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import Protocol as Shape
 
 import httptools
 from twisted.internet.interfaces import IDelayedCall, IPushProducer, IReactorTime
@@ -31,11 +32,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Bounds:
-    """What a connection may take: bytes of head and body, seconds for a request and between two, bytes waiting."""
+    """What a connection may take: bytes of head and body, seconds for a request, between two and before the
+    first, bytes waiting."""
     head: int = 16_384
     body: int = 1_048_576
     request_s: float = 5.0
     idle_s: float = 60.0
+    first_s: float = 0.0   # until a fresh connection begins its first request; 0: as between two
     waiting: int = 1_048_576
 
 
@@ -119,6 +122,10 @@
                  on_gone: Callable[[ServerConnection], None]) -> None:
         self.clock, self.bounds, self.handle, self.on_gone = clock, bounds, handle, on_gone
         self.state, self.closing, self.peer = At.IDLE, False, ""
+        self.ticket: object = None       # the door's, where there is one
+        self.gate: Gate | None = None
+        self.refused: object = None      # why the door refused it: its first request is answered so
+        self._asked = False
         self._parser = httptools.HttpRequestParser(self)
         self._exchange: Exchange | None = None        # whose answer is owed
         self._building: Exchange | None = None        # whose request is being read
@@ -138,6 +145,8 @@
         self.transport.registerProducer(self, True)
         self.peer = self.transport.getPeer().host
         self._change(At.IDLE)
+        if self.gate:  # not before there is a transport: it may be shed at once
+            self.gate.opened(self)
 
     def dataReceived(self, data: bytes) -> None:
         if self.state is At.CLOSED:
@@ -214,7 +223,8 @@
 
     def _take(self) -> None:
         self._exchange = self._whole.popleft()
-        self.closing = self.closing or self._exchange.last
+        self.closing = self.closing or self._exchange.last or self.refused is not None
+        self._asked = True
         self._change(At.BUSY)
         self.handle(self._exchange)
 
@@ -304,7 +314,8 @@
         self.state = state
         if self._timer and self._timer.active():
             self._timer.cancel()
-        limit = {At.IDLE: self.bounds.idle_s, At.READING: self.bounds.request_s}.get(state)
+        idle = self.bounds.idle_s if self._asked else self.bounds.first_s or self.bounds.idle_s
+        limit = {At.IDLE: idle, At.READING: self.bounds.request_s}.get(state)
         self._timer = self.clock.callLater(limit, self._late) if limit else None
 
     def _late(self) -> None:
@@ -314,27 +325,47 @@
             self._close()
 
 
+class Gate(Shape):
+    """What a listener asks before it takes a connection, and tells of it."""
+
+    def comes(self, address: str) -> tuple[object, object] | None: ...
+
+    def opened(self, connection: ServerConnection) -> None: ...
+
+    def gone(self, connection: ServerConnection) -> None: ...
+
+
 class ServerFactory(Factory):
-    """Makes and counts connections."""
+    """Makes and counts connections. With a gate, those alone that it lets in or wants answered."""
 
     noisy = False
 
-    def __init__(self, clock: IReactorTime, bounds: Bounds, handle: Callable[[Exchange], None]) -> None:
-        self.clock, self.bounds, self.handle = clock, bounds, handle
+    def __init__(self, clock: IReactorTime, bounds: Bounds, handle: Callable[[Exchange], None],
+                 gate: Gate | None = None, refused: Bounds | None = None) -> None:
+        self.clock, self.bounds, self.handle, self.gate = clock, bounds, handle, gate
+        self.refused_bounds = refused or bounds
         self.connections: dict[ServerConnection, None] = {}
         self.closing = False
 
-    def buildProtocol(self, addr: object) -> ServerConnection:
+    def buildProtocol(self, addr: object) -> ServerConnection | None:
+        let_in = self.gate.comes(addr.host) if self.gate else (None, None)
+        if let_in is None:
+            return None
         connection = self.make()
+        connection.ticket, connection.refused = let_in
+        if connection.refused is not None:
+            connection.bounds = self.refused_bounds
         connection.closing = self.closing
         self.connections[connection] = None
+        connection.gate = self.gate
         return connection
 
     def make(self) -> ServerConnection:
         return ServerConnection(self.clock, self.bounds, self.handle, self._gone)
 
     def _gone(self, connection: ServerConnection) -> None:
-        self.connections.pop(connection, None)
+        if self.connections.pop(connection, False) is None and self.gate:
+            self.gate.gone(connection)
 
     def last_answers(self) -> None:
         """From now on each connection closes after its next answer; none is closed for it."""
