A stopping node answers also those who wait in the kernel's queue

Change: the listener is drained and closed in one turn; idle connections are closed a quarter of a second later.

--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -6,7 +6,9 @@
 from pathlib import Path
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IListeningPort, IReactorTCP
+from twisted.python.failure import Failure
 
 from .. import logs
 from ..core import NoRecord, Record, Router
@@ -23,6 +25,7 @@
 RELEASE_WAIT = 2.0  # seconds that a stopping node waits for its last letting go to be delivered
 TAKEN_UP = 0.05     # seconds between looks at what is still on its way
 # A client that has just connected would be reset without a word if the listener closed at once: it is told instead.
+ACCEPT_TURNS = 8    # each takes what Twisted accepts in one go
 LAST_WORDS = 0.25   # seconds that a stopping node still accepts, to say that it is stopping
 
 
@@ -123,11 +126,20 @@
         return done
 
     def _close_door(self, closed: Deferred[None]) -> None:
+        """Closes the listener with nobody left in the kernel's queue, who would be reset; then, after as long again, the
+        connections on which nothing came."""
         self.messages.gate.stop()
-        if self._port:
-            self._port.stopListening()
-        self.messages.factory.stop()
-        closed.callback(None)
+        port = self._port
+        if port and port.connected:
+            for _ in range(ACCEPT_TURNS):
+                port.doRead()
+            port.stopReading()
+            port.connectionLost(Failure(ConnectionDone()))  # at once: stopListening would leave a turn of the reactor open
+
+        def close_idle() -> None:
+            self.messages.factory.stop()
+            closed.callback(None)
+        self.reactor.callLater(LAST_WORDS, close_idle)
 
     def _deliver(self, until: float, done: Deferred[None]) -> None:
         """Waits for the last releases and the last bytes to clients."""
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -311,6 +311,21 @@
     assert on_loop(scene) == (["message_stop"] * 5, [], 503, True)
 
 
+def test_who_waits_in_the_kernels_queue_when_the_door_closes_is_told():
+    async def scene():
+        s = await site("mixed").up()
+        stopped = s.node.stop()
+        port, views = s.node._port, []
+        port.stopReading()  # the reactor is busy with other things, and connections pile up
+        for n in range(20):
+            views.append(await s.ask(ref=f"a{n}"))
+        await until(lambda: all(v.over for v in views))
+        await stopped
+        await s.close()
+        return {v.status for v in views}
+    assert on_loop(scene) == {503}
+
+
 def test_a_stop_does_not_wait_for_ever_for_a_stream():
     async def scene():
         s = await site("reader", "writer", stop_ms=200).up()
