--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -63,9 +63,12 @@
 def settings_check(file: str) -> None:
     """Say whether FILE can be used; every problem on a line of its own."""
     from ..messages.vocabulary import Vocabulary
+    from ..settings import load_tenants
+    from ..tenants.tree import Tree
     form = load(file)
     try:
         Vocabulary(form.messages.event_names)
+        Tree(form.tenants | load_tenants(form.tenants_file))
     except ValueError as wrong:
         fail(f"{file}: {wrong}")
     click.echo(f"{file}: good: node {form.node}, {len(form.types)} traffic types, {len(form.kinds)} kinds of engines")
@@ -180,18 +183,19 @@
 
 
 @measure.command("overhead")
+@click.option("--ledger", is_flag=True, help="The node keeps a ledger and budgets.")
 @click.option("--rate", default=160.0, show_default=True, help="Sequences a second on each path.")
 @click.option("--seconds", default=10.0, show_default=True, type=click.FloatRange(1, 300))
 @click.option("--tokens", default=16, show_default=True, type=click.IntRange(1, 1000), help="Most tokens of an answer.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--profile", type=click.Path(dir_okay=False), help="Also write the node's cProfile figures there.")
-def measure_overhead(rate: float, seconds: float, tokens: int, seed: int, profile: str | None) -> None:
+def measure_overhead(ledger: bool, rate: float, seconds: float, tokens: int, seed: int, profile: str | None) -> None:
     """The same load straight at a stand-in engine and through one node, side by side."""
     from rich.console import Console
     from rich.table import Table
 
     from ..measure.overhead import overhead
-    got = overhead(rate, seconds, tokens, seed, profile or "")
+    got = overhead(rate, seconds, tokens, seed, profile or "", ledger)
     table = Table(title=f"{rate:g} sequences a second for {seconds:g} s on each path, at most {tokens} tokens",
                   title_justify="left")
     for column in ("path", "done", "failed", "first: median ms", "99th", "99.9th", "whole: median ms", "99th"):
--- a/aniserudder/measure/overhead.py
+++ b/aniserudder/measure/overhead.py
@@ -46,17 +46,18 @@
                 - self.direct.first.get_value_at_percentile(percentile)) / 1000
 
 
-def overhead(rate: float, seconds: float, tokens: int, seed: int, profile: str = "") -> Measured:
+def overhead(rate: float, seconds: float, tokens: int, seed: int, profile: str = "", ledger: bool = False) -> Measured:
     """Measures.
 
     Args:
         rate: sequences a second on each way.
         profile: a file for the node's cProfile figures; empty: none.
+        ledger: whether the node keeps a ledger and budgets.
     """
     with tempfile.TemporaryDirectory(prefix="measure-") as name:
         ports = {"engine": free_port(), "direct": free_port(), "node": free_port()}
         children = [_standin(ports["engine"]), _standin(ports["direct"])]
-        node = _node(Path(name), ports, profile)
+        node = _node(Path(name), ports, profile, ledger)
         try:
             for port in ports.values():
                 _wait(port)
@@ -90,9 +91,10 @@
                              "--step-ms", "5", "--read-per-s", "2000000", "--quiet"], stderr=subprocess.DEVNULL)
 
 
-def _node(folder: Path, ports: dict[str, int], profile: str) -> subprocess.Popen[bytes]:
+def _node(folder: Path, ports: dict[str, int], profile: str, ledger: bool) -> subprocess.Popen[bytes]:
     settings = folder / "node.yaml"
-    settings.write_text(yaml.safe_dump({
+    books = {"ledger": {"path": str(folder / "ledger")}} if ledger else {}
+    settings.write_text(yaml.safe_dump(books | {
         "node": "measured", "zone": "here", "seed": 1, "log_level": "error",
         "messages": {"listen": {"port": ports["node"]}, "default_type": "short"},
         "admission": {"address_connections": 1500, "address_new_per_s": 100_000, "network_connections": 1500,
