--- a/aniserudder/tenants/shares.py
+++ b/aniserudder/tenants/shares.py
@@ -11,10 +11,11 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-LEASE_PART = 0.5     # of what is left, divided among the nodes seen lately: what one lease may be at most
+LEASE_PART = 0.5     # of a node's part of what is left, even or by its use: what one lease may be at most
 LEAST_PART = 0.0005  # of the budget: a lease is not cut below that
 HORIZON = 1.0        # seconds of its own use that a node holds ahead
 RATE_OVER = 0.25     # seconds over which use is noted
+LATE_STEP = 0.3      # weight of the newest in how late the ledger answers
 FADE = 0.98          # what is left of the largest reservation after each
 SPENT_PAUSE = 1.0    # seconds between asks once the ledger has said that nothing is left
 SEEN_FOR = 10.0      # seconds that a node counts among those that share
@@ -72,7 +73,7 @@
 class Lease:
     """A node's side of the leases on one budget. Times in seconds, on any steady clock.
 
-    It holds what it uses in ``HORIZON`` seconds and two of its largest reservations, and returns what is more: what lies idle at
+    It holds what it uses in ``HORIZON`` seconds and twice the ledger's delay, or two of its largest reservations, and returns what is more: what lies idle at
     one node is refused at another. ``overdraft`` may be used while no lease comes; it is paid back from the next one. So a node
     without a ledger goes on for that much, and all nodes together overspend by at most the nodes times it.
     """
@@ -86,6 +87,8 @@
     noted: float = -1.0      # when the rate was last noted
     since: int = 0           # taken since then
     pause: float = -1.0      # not asked again before; of a budget that is spent little comes back
+    asked: float = 0.0       # when
+    late: float = 0.0        # how long the ledger takes to answer, lately
 
     def take(self, amount: int, now: float) -> bool:
         self.largest = max(self.largest, amount)
@@ -110,14 +113,15 @@
             self.rate += (self.since / past - self.rate) * min(1.0, past / HORIZON)
             self.largest *= FADE
             self.noted, self.since = now, 0
-        target = round(max(2 * self.largest, HORIZON * self.rate))
+        # A ledger that answers late is asked for as much more as is used meanwhile.
+        target = round(max(2 * self.largest, (HORIZON + 2 * self.late) * self.rate))
         if self.wanted:
             return 0
         if self.room > 2 * target + 1 and not self.spent_out:
             return target - self.room
         if self.room * 2 >= target and self.room > 0 or now < self.pause:
             return 0
-        self.wanted = max(1, target - self.room)
+        self.wanted, self.asked = max(1, target - self.room), now
         return self.wanted
 
     def returned(self, amount: int) -> None:
@@ -127,6 +131,8 @@
     def granted(self, amount: int, left: int, now: float) -> None:
         """The ledger's answer; ``left`` is what remains for all after it."""
         self.wanted = 0
+        took = now - self.asked
+        self.late += (LATE_STEP if self.late else 1.0) * (took - self.late)
         self.room += amount
         self.spent_out = amount == 0 and left <= 0
         self.pause = now + SPENT_PAUSE if self.spent_out else -1.0
@@ -177,7 +183,9 @@
         mine.used = max(mine.used, used)
         left = self.most - self.out
         sharing = sum(now - at < SEEN_FOR for at in self.seen.values())
-        fair = max(round(LEASE_PART * left / sharing), round(LEAST_PART * self.most), 1)
+        # A busy node needs more of what is left than an even part: it gets by its part of what all have used.
+        part = max(1 / sharing, mine.used / max(1, sum(h.used for h in self.held.values())))
+        fair = max(round(LEASE_PART * left * part), round(LEAST_PART * self.most), 1)
         grant = max(0, min(wanted, fair, left))
         mine.leased += grant
         return grant, self.most - self.out
