The ledger counts an overdraft once

Need: in the comparison a ledger that had been away went on refusing falsely: it took a node's overdraft as leased, and then leased the same again when the node asked to pay it back.

Change: an overdraft counts when it is paid; a test holds that what a node has and what the ledger has leased to it agree.

--- a/aniserudder/tenants/shares.py
+++ b/aniserudder/tenants/shares.py
@@ -178,8 +178,6 @@
             if mine is not None:  # what the last life took of its lease nobody knows: it counts as used
                 self.closed += mine.leased
             mine = self.held[node] = Held(life=life)
-        if used > mine.leased:    # overdrawn: paid from what is left
-            mine.leased = used
         mine.used = max(mine.used, used)
         left = self.most - self.out
         sharing = sum(now - at < SEEN_FOR for at in self.seen.values())
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -178,6 +178,16 @@
     assert lease.room == 160
 
 
+def test_an_overdraft_is_paid_once():
+    """After the ledger was away its books of what is leased are the nodes' own: it counted what was overdrawn twice."""
+    grantor, lease = Grantor(10_000), Lease(500)
+    for _ in range(5):
+        assert lease.take(100, 0.0)
+    grant, left = grantor.ask("a", "x", lease.ask(0.5), lease.used, 0.5)
+    lease.granted(grant, left, 0.6)
+    assert lease.room + lease.used == grantor.held["a"].leased == 10_000 - left
+
+
 # What is charged.
 
 def work(ordinal, reads=False, fetched=False, outcome="generated", **tokens):
