Role swaps are made as they say; the audit knows a node that is just dying

Change: a swapped engine comes up 0.3 s after its end, a fault that cannot be made fails the rehearsal, and the audit counts a kill until the process has ended.

--- a/aniserudder/rehearsal/audit.py
+++ b/aniserudder/rehearsal/audit.py
@@ -198,11 +198,13 @@
         return sum(min(e, until) - max(b, since - (e - b)) for b, e in self.stalls if b < until and e > since)
 
     def died(self, node: str, since: int) -> bool:
-        """Whether the node was killed at or after that time, before it could be restarted."""
+        """Whether the node was killed at or after that time, before it could be restarted, or was just dying then."""
+        before = ""
         for at, what in self.lives[node]:
             if at >= since:
-                return what == "node_killed"
-        return False
+                return "node_killed" in (what, before)
+            before = what
+        return before == "node_killed"
 
     def life(self, node: str, at: int) -> int:
         """When the life of the node began that ran at that time."""
--- a/aniserudder/rehearsal/stage.py
+++ b/aniserudder/rehearsal/stage.py
@@ -36,6 +36,7 @@
 
 READY_WITHIN = 20.0   # seconds for the nodes to listen
 EXIT_WITHIN = 15.0    # seconds for a node to stop in order
+SWAP_S = 0.3          # seconds from an engine's end in its old role to its start in the new one
 HOLDS_SETTLE = 0.6    # seconds after the last node's end, for releases under way
 
 
@@ -220,7 +221,7 @@
         for op in self.plan.ops:
             self.reactor.callLater(op.at, self.clients.arrive, op)
         for strike in self.plan.strikes:
-            self.reactor.callLater(strike.fault.at, self._strike, strike)
+            self.reactor.callLater(strike.fault.at, self._try_to_strike, strike)
         for second in range(5, int(self.day.seconds), 5):
             self.reactor.callLater(second, self._progress, second)
         # The nodes are stopped while some sequences are still under way: a stop has to answer them.
@@ -271,6 +272,13 @@
 
     # Troubles.
 
+    def _try_to_strike(self, strike: Strike) -> None:
+        """A fault that could not be made would leave a day that proves less than it says: then the rehearsal fails."""
+        try:
+            self._strike(strike)
+        except Exception as failure:
+            self.trouble = self.trouble or f"{strike.fault.trouble} could not be made: {failure}"
+
     def _strike(self, strike: Strike) -> None:
         fault = strike.fault
         self.witness.note("trouble", trouble=fault.trouble, engines=strike.engines, nodes=strike.nodes,
@@ -350,7 +358,7 @@
         seat = next(s for s in self.seats if s.name == name)
         self.reactor.callLater(seconds, self._spawn, seat)
 
-    def _down(self, engine: StandinEngine, fault: object, seconds: float) -> None:
+    def _down(self, engine: StandinEngine, fault: Fault, seconds: float) -> None:
         engine.kill()
 
         def back() -> None:
@@ -358,7 +366,7 @@
             self.roster.change(engine.spec.name, fault.late_s, availability="running", started_at=engine.started_at)
         self.reactor.callLater(seconds, back)
 
-    def _preempt(self, engine: StandinEngine, fault: object) -> None:
+    def _preempt(self, engine: StandinEngine, fault: Fault) -> None:
         """Notice first: it drains, refuses new work, then dies; a fresh process comes up later."""
         engine.faults.draining = True
         self.roster.change(engine.spec.name, fault.late_s, availability="draining")
@@ -376,18 +384,20 @@
             self.roster.change(row.engine, 0.0, availability="running")
         self.reactor.callLater(fault.seconds + max(2.0, 2 * fault.late_s), back)
 
-    def _swap(self, engines: list[StandinEngine], fault: object) -> None:
+    def _swap(self, engines: list[StandinEngine], fault: Fault) -> None:
         """Two engines change roles: each dies and comes back cold as the other's kind."""
         if len(engines) < 2:
             return
         first, second = engines[:2]
         kinds = (first.spec.kind, first.spec.role), (second.spec.kind, second.spec.role)
         for engine, (kind, role) in ((first, kinds[1]), (second, kinds[0])):
-            engine.spec.kind, engine.spec.role = kind, role
             engine.kill()
-            engine.start()
-            self.roster.change(engine.spec.name, fault.late_s, availability="running", kind=kind,
-                               started_at=engine.started_at)
+            self.reactor.callLater(SWAP_S, self._turned, engine, kind, role, fault)
+
+    def _turned(self, engine: StandinEngine, kind: str, role: str, fault: Fault) -> None:
+        engine.spec.kind, engine.spec.role = kind, role
+        engine.start()
+        self.roster.change(engine.spec.name, fault.late_s, availability="running", kind=kind, started_at=engine.started_at)
 
     def _cut(self, zone: str, seconds: float) -> None:
         """Between one zone and the others, both ways: engines there from nodes elsewhere, and the reverse."""
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -109,6 +109,13 @@
     assert not audit(Record(early)).findings
 
 
+def test_a_sequence_that_reaches_a_node_that_is_just_dying_is_not_its_duty():
+    lines = [x for x in day() if x.get("ref") != "op5.0"] + [x for x in sequence(3200, "op5.0", 5, "repeatable")[:1]]
+    lines = add(line(3199, "node_killed", node="n1"), line(3207, "lost", ref="op5.0"),
+                line(3208, "node_ended", node="n1", killed=True), line(4000, "node_started", node="n1"))(lines)
+    assert not audit(Record(lines)).findings
+
+
 def test_a_kill_excuses_nothing_before_it():
     lines = drop("answered", "op2.0")(day())
     again = add(line(600, "node_ended", node="n1", killed=False), line(700, "node_started", node="n1"),
