A test of the witness's own lateness

Need: the allowance for a busy witness had no test. Change: one that it is given where the stall was, and nowhere else. Measured: it passes; without the allowance it fails.

--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -127,3 +127,10 @@
     for lines in ([], [b"{}"], [b"nonsense"], [b'{"at":1,"what":"first","ref":"op1.0"}']):
         with pytest.raises(BadRecord):
             read(lines)
+
+
+def test_what_the_witness_saw_late_is_not_held_against_a_node():
+    """The witness was busy for 0.9 s, so the letting go that it stamped late was in time; a stall elsewhere excuses nothing."""
+    late = change("let_go", "op4.0", at=1200 * MS)(day())
+    assert not audit(Record(add(line(1200, "stalled", us=900_000))(late))).findings
+    assert audit(Record(add(line(2900, "stalled", us=900_000))(late))).broken == [5]
