--- a/aniserudder/core/ports.py
+++ b/aniserudder/core/ports.py
@@ -25,6 +25,8 @@
     token: str = ""
     model: str = ""
     mark: str = ""
+    forced: str = ""         # text so far of a stream that goes on: the engine has to begin behind it
+    forced_tokens: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,6 +67,10 @@
     state: dict[str, Any] | None  # transfer parameters of the state to fetch
     time_out: int            # microseconds, told to the engine; the library itself keeps the time
 
+    def continues(self, at: int, digest: str) -> None:
+        """Where in the whole answer the text that follows begins, in UTF-8 bytes, and the digest (xxh3, 64 bits, hex) of
+        what the engine took for the text before that. Told before the first piece, where a beginning was forced."""
+
     def text(self, piece: str) -> None:
         """A piece of the answer; the first one is the start of the stream."""
 
@@ -82,6 +88,9 @@
     def call_off(self, attempt: Attempt) -> None:
         """Stops waiting for it. No ``ended`` follows. What an interrupted read left behind is let go too."""
 
+    def hold(self, attempt: Attempt, held: bool) -> None:
+        """Takes nothing more of it from its engine for now, or again: its client reads too slowly."""
+
     def let_go(self, seq_id: str, engine: str, ordinal: int, state: dict[str, Any] | None) -> None:
         """Lets go of what the read of that ordinal left at an engine; ``state`` are its transfer parameters."""
 
--- a/aniserudder/core/record.py
+++ b/aniserudder/core/record.py
@@ -62,6 +62,18 @@
     seq: str
 
 
+class GoesOnCall(msgspec.Struct, tag="goes on", tag_field="call"):
+    at: int
+    seq: str
+    prompt: Prompt | None
+
+
+class TricklesCall(msgspec.Struct, tag="trickles", tag_field="call"):
+    at: int
+    seq: str
+    ordinal: int
+
+
 class ProbedCall(msgspec.Struct, tag="probed", tag_field="call"):
     at: int
     engine: str
@@ -73,7 +85,8 @@
     at: int
 
 
-Call = RosterCall | ArrivedCall | StartedCall | EndedCall | LeftCall | ProbedCall | WakeCall
+Call = (RosterCall | ArrivedCall | StartedCall | EndedCall | LeftCall | GoesOnCall | TricklesCall | ProbedCall
+        | WakeCall)
 
 
 class Entry(msgspec.Struct):
@@ -95,6 +108,10 @@
             return node.ended(call.at, call.seq, call.ordinal, call.outcome, call.kept, call.final, call.report)
         case LeftCall():
             return node.client_left(call.at, call.seq)
+        case GoesOnCall():
+            return node.goes_on(call.at, call.seq, call.prompt)
+        case TricklesCall():
+            return node.trickles(call.at, call.seq, call.ordinal)
         case RosterCall():
             return node.roster(call.at, call.rows, call.complete)
         case ProbedCall():
--- a/aniserudder/core/router.py
+++ b/aniserudder/core/router.py
@@ -4,25 +4,46 @@
 WRITING → ``Engines.send`` to a writer → pieces of text → GENERATED. Every change of a sequence's state is the
 decision node's and goes through ``_carry_out``; the router itself adds only what no decision is needed for: keeping
 time-outs that were decided, and ending whole answers and sequences at the client's abandon time.
+
+A stream whose writer is lost after its first token is BROKEN, if the node says that it may go on: ``streams.recovery`` gives
+it a turn, the node sends it on its way with the text so far, and ``streams.seam`` joins what the new writer sends.
 """
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from random import Random
 from typing import Any
 
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
-from ..decisions.interface import (Change, EngineChange, Outcome, Report, RosterRow, SequenceChange, Settings,
+from ..decisions.interface import (Change, EngineChange, Outcome, Report, Role, RosterRow, SequenceChange, Settings,
                                    Standing, State)
 from ..decisions.rules import Node
+from ..streams.journal import Journal
+from ..streams.pace import PaceRules, Paces, Running
+from ..streams.recovery import Broken, Recovery, RecoveryRules
+from ..streams.seam import Misfit, Seam
 from .ports import Answer, Engines, Request, Usage
-from .record import (ArrivedCall, Call, EndedCall, LeftCall, NoRecord, ProbedCall, Recorder, RosterCall, StartedCall,
-                     WakeCall, make)
+from .record import (ArrivedCall, Call, EndedCall, GoesOnCall, LeftCall, NoRecord, ProbedCall, Recorder, RosterCall,
+                     StartedCall, TricklesCall, WakeCall, make)
 
 FINAL = frozenset({State.GENERATED, State.REJECTED, State.ABORTED, State.LEFT, State.CLEARED})
 NOTHING = Usage()
+LOOK_EVERY = 250_000  # microseconds between looks at which streams trickle
+
+
+@dataclass(slots=True, frozen=True)
+class StreamRules:
+    """What the router is told of streams that go on.
+
+    ``most_pause`` bounds a pause, in microseconds; a client waits no longer for the next token than it would have waited
+    for the first.
+    """
+    most_pause: int = 4_000_000
+    recovery: RecoveryRules = RecoveryRules()
+    pace: PaceRules = PaceRules()
 
 
 @dataclass(slots=True, eq=False)
@@ -35,17 +56,21 @@
     reads: bool
     state: dict[str, Any] | None
     time_out: int
+    request: Request
     timer: IDelayedCall | None = None
     started: bool = False
     over: bool = False
+    seam: Seam | None = None
+    running: Running | None = None  # its pace, once it has started
+    held: bool = False              # nothing more is taken from its engine for now
 
     @property
     def seq_id(self) -> str:
         return self.flight.id
 
-    @property
-    def request(self) -> Request:
-        return self.flight.request
+    def continues(self, at: int, digest: str) -> None:
+        if not self.over:
+            self.router.tell(lambda: self.router._continues(self, at, digest))
 
     def text(self, piece: str) -> None:
         if not self.over:
@@ -81,6 +106,11 @@
     stop_reason: str = ""
     why: str = ""                                          # the last failure, for the log and the client
     timer: IDelayedCall | None = None
+    journal: Journal | None = None                         # what was forwarded; None: streams do not go on
+    came: int = 0                                          # microseconds, on the router's clock
+    broke_at: int = 0                                      # since when its client waits for the next token; 0: it does not
+    waits_until: int = 0                                   # and until when
+    turned: bool = False                                   # it has had a turn since
 
 
 @dataclass(slots=True)
@@ -94,6 +124,10 @@
     attempts: int = 0
     let_go: int = 0
     failures: int = 0  # calls in which the decision module raised
+    broken: int = 0    # streams whose writer was lost after their first token and that could go on
+    gone_on: int = 0   # of these, whose next token came
+    misfits: int = 0   # continuations that did not fit what the client had
+    moved: int = 0     # streams that trickled
 
 
 class Router:
@@ -107,11 +141,15 @@
         recorder: where calls and their results are written.
         log: called as ``log(event, **fields)`` with fields of the log schema.
         name: of this node, written into the record.
+        streams: how streams go on; None: they do not.
     """
 
     def __init__(self, settings: Settings, seed: int, engines: Engines, clock: IReactorTime,
-                 recorder: Recorder | None = None, log: Callable[..., None] | None = None, name: str = "") -> None:
+                 recorder: Recorder | None = None, log: Callable[..., None] | None = None, name: str = "",
+                 streams: StreamRules | None = None) -> None:
+        settings = replace(settings, streams_go_on=settings.streams_go_on and streams is not None)
         self.node = Node(settings, seed)
+        self.slos = {t.name: (t.latency_slo, t.slo_per_1000_tokens, t.utility, t.token_pace) for t in settings.types}
         self.engines, self.clock = engines, clock
         self.recorder, self.log = recorder or NoRecord(), log or (lambda event, **fields: None)
         self.flights: dict[str, Flight] = {}
@@ -122,6 +160,13 @@
         self._busy = False
         self._wake: IDelayedCall | None = None
         self._wake_at = 0
+        self.streams = streams
+        self.pauses: list[int] = []  # microseconds, of the last streams that went on
+        if streams:
+            self.recovery = Recovery(streams.recovery, Random(f"{seed} recovery").random, self.now(), settings.nodes)
+            self.paces = Paces(streams.pace)
+        self._turn: IDelayedCall | None = None
+        self._look: IDelayedCall | None = None
         self.recorded_as = name
         self.recorder.head(settings, seed, name)
 
@@ -131,11 +176,15 @@
         """Whole microseconds of the router's clock."""
         return round(self.clock.seconds() * 1_000_000)
 
-    def take(self, id: str, request: Request, answer: Answer) -> None:
-        """Takes a sequence: from here on it owes one final answer, before its abandon time."""
+    def take(self, id: str, request: Request, answer: Answer, journal: Journal | None = None) -> None:
+        """Takes a sequence: from here on it owes one final answer, before its abandon time. ``journal`` is kept by the
+        router, and holds ``request.forced`` already where that is given."""
         def taken() -> None:
             now = self.now()
-            flight = self.flights[id] = Flight(id, request, answer, now + request.prompt.time_left)
+            flight = self.flights[id] = Flight(id, request, answer, now + request.prompt.time_left, came=now)
+            if self.streams:
+                flight.journal = journal if journal is not None else Journal(id)
+                self.recovery.arrived(now, request.prompt.tokens)
             self.counts.taken += 1
             flight.timer = self._later(request.prompt.time_left, lambda: self._time_up(flight))
             self._call(ArrivedCall(now, id, request.prompt), flight)
@@ -148,9 +197,20 @@
             if flight and not flight.answered:
                 flight.answered = True
                 self.counts.left += 1
+                if self.streams:
+                    self.recovery.left(flight)
                 self._call(LeftCall(self.now(), id), flight)
         self.tell(left)
 
+    def hold(self, id: str, held: bool) -> None:
+        """The client of a stream reads too slowly, or well again: its writer is held back, or released."""
+        flight = self.flights.get(id)
+        if flight and flight.out and flight.out.held is not held:
+            flight.out.held = held
+            if flight.out.running:
+                self.paces.held(flight.out.running, self.now())
+            self.engines.hold(flight.out, held)
+
     def roster(self, rows: list[RosterRow], complete: bool) -> None:
         """News of the engine list; ``started_at`` of the rows is on the router's clock."""
         self.tell(lambda: self._call(RosterCall(self.now(), rows, complete)))
@@ -188,6 +248,17 @@
         flight = attempt.flight
         if attempt.over or flight.out is not attempt:
             return
+        if attempt.seam:
+            try:
+                piece = attempt.seam.feed(piece)
+            except Misfit as wrong:
+                return self._misfit(attempt, str(wrong))
+        if self.streams and not attempt.held:
+            if attempt.running:
+                self.paces.token(attempt.running, self.now())
+            else:
+                attempt.running = self.paces.began(attempt.engine, self.now())
+                self._plan_look()
         if not attempt.started:
             attempt.started = True
             self._cancel(attempt)
@@ -195,17 +266,41 @@
                 if other is not flight.held:
                     self._name(flight, other)
             flight.held, flight.read = None, []
-            if not flight.request.whole:
+            if not flight.request.whole and not flight.broke_at:
                 self._cancel(flight)  # a started stream has no abandon time; a whole answer keeps its own
+            if not attempt.request.forced:
+                self._fared(flight, self.now() - flight.came)
             self._call(StartedCall(self.now(), flight.id, attempt.ordinal), flight)
-        if not flight.answered:
+        if not flight.answered and piece:
+            if flight.broke_at:
+                self._went_on(flight)
+            if flight.journal is not None:
+                flight.journal.add(piece)
             flight.answer.text(piece)
 
+    def _continues(self, attempt: Attempt, at: int, digest: str) -> None:
+        if attempt.seam and not attempt.over and attempt.flight.out is attempt:
+            try:
+                attempt.seam.begins(at, digest)
+            except Misfit as wrong:
+                self._misfit(attempt, str(wrong))
+
+    def _misfit(self, attempt: Attempt, reason: str) -> None:
+        """The continuation is another text: none of it may reach the client, and there is no telling what would."""
+        self.counts.misfits += 1
+        self.engines.call_off(attempt)
+        self._ended(attempt, Outcome.ERROR, NOTHING, None, f"the continuation does not fit: {reason}", None, final=True)
+
     def _ended(self, attempt: Attempt, outcome: Outcome, usage: Usage, state: dict[str, Any] | None, reason: str,
                report: dict[str, float] | None, final: bool = False) -> None:
         flight = attempt.flight
         if attempt.over:
             return
+        if outcome is Outcome.GENERATED and attempt.seam and not flight.answered:
+            try:
+                attempt.seam.ends()
+            except Misfit as wrong:
+                return self._misfit(attempt, str(wrong))
         attempt.over, flight.out = True, None
         self._cancel(attempt)
         now = self.now()
@@ -215,13 +310,19 @@
         elif outcome is Outcome.NO_STATE:
             flight.held = None
         if outcome is Outcome.GENERATED:
-            flight.usage, flight.stop_reason, flight.why = usage, reason, ""
+            # The client is told of one answer: the prompt as it was, and all that was written.
+            whole = replace(usage, read=max(0, usage.read - attempt.request.forced_tokens),
+                            written=usage.written + attempt.request.forced_tokens) if attempt.request.forced else usage
+            flight.usage, flight.stop_reason, flight.why = whole, reason, ""
+            if flight.broke_at:
+                self._went_on(flight)  # all was written but for the end
         elif outcome is not Outcome.READ:
             flight.why = f"{outcome.value}{': ' + reason if reason else ''}"
             self.log("attempt ended", level="warning", seq=flight.id, state=flight.state.value, engine=attempt.engine,
                      ordinal=attempt.ordinal, reason=flight.why)
         heard = Report(now, {f: report[f] for f in self.fields if f in report}) if report and self.fields else None
-        done = final or attempt.started or outcome is Outcome.GENERATED or flight.answered
+        over = attempt.started and (flight.journal is None or not flight.journal.whole)
+        done = final or over or outcome is Outcome.GENERATED or flight.answered
         self._call(EndedCall(now, flight.id, attempt.ordinal, outcome, usage.kept, done, heard), flight)
         if flight.answered and flight.out is None:
             self._forget(flight)
@@ -244,6 +345,108 @@
                 self._force(flight, "the client's time is up")
         self.tell(end)
 
+    # Streams that go on.
+
+    def _broke(self, flight: Flight) -> None:
+        """The node says that it may go on: it waits for its turn, as long as its client waits."""
+        now = self.now()
+        if not flight.broke_at:
+            self.counts.broken += 1
+            flight.broke_at, flight.turned = now, False
+            flight.waits_until = now + min(flight.request.prompt.time_left, self.streams.most_pause)
+            if flight.request.whole:
+                flight.waits_until = min(flight.waits_until, flight.abandon_at)
+            else:
+                self._cancel(flight)
+                flight.timer = self._later(flight.waits_until - now, lambda: self._time_up(flight))
+            journal = flight.journal
+            if journal.pieces >= flight.request.prompt.max_output + flight.request.forced_tokens:
+                return self._complete(flight)
+        prompt = flight.request.prompt
+        slo, stretch, utility, _ = self.slos.get(prompt.traffic_type, (0, 0, 0.0, 0))
+        cost = prompt.tokens + flight.journal.pieces - flight.request.forced_tokens
+        one = Broken(flight, cost, utility, flight.waits_until, flight.broke_at)
+        if flight.turned:
+            self.recovery.waits(now, one)
+        else:
+            writers = sum(e.listed and e.role is not Role.READER for e in self.node.engines.values())
+            running = sum(f.out is not None and f.out.started for f in self.flights.values())
+            over = self.recovery.broke(now, one, (running + 1) / max(1, writers))
+            if over:
+                self._no_turn(over.key)
+        self._plan_turn()
+
+    def _complete(self, flight: Flight) -> None:
+        """All that may be written was written; only the writer's last word was lost."""
+        flight.broke_at = 0
+        flight.usage = Usage(flight.request.prompt.tokens - flight.request.forced_tokens, 0, flight.journal.pieces)
+        flight.stop_reason, flight.state = "length", State.GENERATED
+        self._finish(flight, lambda a: a.generated("length", flight.usage))
+        self._call(LeftCall(self.now(), flight.id), flight)
+
+    def _plan_turn(self) -> None:
+        at = self.recovery.wake_at(self.now())
+        if self._turn and self._turn.active():
+            self._turn.cancel()
+        self._turn = self._later(at - self.now(), lambda: self.tell(self._turns)) if at else None
+
+    def _turns(self) -> None:
+        turns, given_up = self.recovery.due(self.now())
+        for one in given_up:
+            self._no_turn(one.key)
+        for one in turns:
+            self._goes_on(one.key)
+        self._plan_turn()
+
+    def _no_turn(self, flight: Flight) -> None:
+        if not flight.answered:
+            flight.why = flight.why or "the stream broke"
+            self._call(GoesOnCall(self.now(), flight.id, None), flight)
+
+    def _goes_on(self, flight: Flight) -> None:
+        if flight.answered or flight.state is not State.BROKEN:
+            return
+        now, journal, asked = self.now(), flight.journal, flight.request
+        before, prompt = asked.forced_tokens, asked.prompt
+        fresh = journal.pieces - before
+        pace = self.slos.get(prompt.traffic_type, (0, 0, 0.0, 0))[3]
+        prompt = replace(prompt, tokens=prompt.tokens + fresh, max_output=max(1, prompt.max_output - fresh),
+                         hint=max(pace, prompt.hint - fresh * pace) if prompt.hint else 0,
+                         time_left=max(1, flight.waits_until - now))
+        flight.request = replace(asked, prompt=prompt, forced=journal.text(), forced_tokens=journal.pieces)
+        flight.turned = True
+        self._call(GoesOnCall(now, flight.id, prompt), flight)
+
+    def _went_on(self, flight: Flight) -> None:
+        self.counts.gone_on += 1
+        self.pauses.append(self.now() - flight.broke_at)
+        del self.pauses[:-1000]
+        flight.broke_at = 0
+        if not flight.request.whole:
+            self._cancel(flight)
+
+    def _fared(self, flight: Flight, took: int) -> None:
+        """How a new sequence fared: the extra reading has to leave room for its like."""
+        if self.streams:
+            slo, stretch, _, _ = self.slos.get(flight.request.prompt.traffic_type, (0, 0, 0.0, 0))
+            slo += stretch * flight.request.prompt.tokens // 1000
+            if slo:
+                self.recovery.fared(self.now(), took / slo)
+
+    def _plan_look(self) -> None:
+        if self._look is None or not self._look.active():
+            self._look = self._later(LOOK_EVERY, lambda: self.tell(self._look_around))
+
+    def _look_around(self) -> None:
+        """Which streams trickle."""
+        now = self.now()
+        running = [f.out for f in self.flights.values() if f.out and f.out.running and not f.answered]
+        for attempt in running:
+            if not attempt.held and not attempt.over and self.paces.trickles(attempt.running, now):
+                self._call(TricklesCall(now, attempt.seq_id, attempt.ordinal), attempt.flight)
+        if running:
+            self._plan_look()
+
     # The decision node.
 
     def _call(self, call: Call, flight: Flight | None = None) -> None:
@@ -278,9 +481,13 @@
         match change.state:
             case State.READING | State.WRITING:
                 self._send(flight, change)
+            case State.BROKEN:
+                self._broke(flight)
             case State.GENERATED:
                 self._finish(flight, lambda a: a.generated(flight.stop_reason, flight.usage))
             case State.REJECTED:
+                if not flight.journal or not flight.journal.pieces:
+                    self._fared(flight, 1 << 40)
                 self._finish(flight, lambda a: a.rejected(change.come_back, flight.why or "no engine can take it"))
             case State.ABORTED:
                 self._finish(flight, lambda a: a.aborted(flight.why or "no engine can take it"))
@@ -293,7 +500,10 @@
     def _send(self, flight: Flight, change: SequenceChange) -> None:
         reads = change.state is State.READING
         held = flight.held.params if flight.held and not reads else None
-        attempt = flight.out = Attempt(self, flight, change.ordinal, change.engine, reads, held, change.time_out)
+        attempt = flight.out = Attempt(self, flight, change.ordinal, change.engine, reads, held, change.time_out,
+                                       flight.request)
+        if flight.request.forced and not reads:
+            attempt.seam = Seam(flight.journal)
         self.counts.attempts += 1
         attempt.timer = self._later(change.time_out, lambda: self.tell(lambda: self._timed_out(attempt)))
         self.log("attempt", level="debug", seq=flight.id, state=change.state.value, engine=change.engine,
@@ -301,6 +511,7 @@
         self.engines.send(attempt)
 
     def _recall(self, attempt: Attempt) -> None:
+        self.counts.moved += attempt.flight.state is State.STREAMING
         self.engines.call_off(attempt)
         self.tell(lambda: self._ended(attempt, Outcome.RECALLED, NOTHING, None, "called off", None))
 
@@ -319,6 +530,8 @@
         if flight.answered:
             return
         flight.answered = True
+        if self.streams:
+            self.recovery.left(flight)
         counter = {State.GENERATED: "generated", State.REJECTED: "rejected"}.get(flight.state, "aborted")
         setattr(self.counts, counter, getattr(self.counts, counter) + 1)
         final(flight.answer)
--- a/aniserudder/decisions/interface.py
+++ b/aniserudder/decisions/interface.py
@@ -46,6 +46,7 @@
     READ = "read"            # the read state waits at the reader, no schedule attempt is out
     WRITING = "writing"      # a schedule attempt is out at a writer or mixed engine, no token yet
     STREAMING = "streaming"  # the answer has started
+    BROKEN = "broken"        # it stopped after its first token, and may go on elsewhere when the host says so
     GENERATED = "generated"
     REJECTED = "rejected"
     ABORTED = "aborted"
@@ -95,6 +96,7 @@
     cold_time: int
     fall_multiple: float
     allowances: dict[str, float]  # customer: sequences a second inside its share, over all nodes
+    streams_go_on: bool = False   # the host can have a broken stream continued from its text so far
 
 
 @dataclass(slots=True, frozen=True)
--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -1,8 +1,8 @@
 """Every decision of an aniserudder node, with its tables and tuned values.
 
 Called by a host (simhost.py, later the daemon): build Node(settings, seed), call arrived / started / ended /
-client_left / roster / probed / wake as things happen, carry out the returned changes in order, and call wake
-again at wake_at. Settings, vocabulary and changes: interface.py. What is remembered: state.py.
+goes_on / trickles / client_left / roster / probed / wake as things happen, carry out the returned changes in
+order, and call wake again at wake_at. Settings, vocabulary, changes: interface.py. What is kept: state.py.
 The ordinary path is Node._route; docs/design.md says what each exception is for and when it acts.
 """
 from __future__ import annotations
@@ -173,7 +173,7 @@
         if seq.state in FINAL:
             if seq.pinned:
                 self._change(seq, State.CLEARED)
-        elif final or attempt.started_at:
+        elif final or attempt.started_at and not self._may_go_on(seq, attempt):
             self._credit(seq, attempt, outcome)
             self._change(seq, State.GENERATED if outcome is Outcome.GENERATED else State.ABORTED)
         else:
@@ -183,6 +183,11 @@
                 self._change(seq, State.READ, engine)
             else:
                 seq.tried.append(engine)
+            if attempt.started_at:  # the host's scheduler bounds what is read again for broken streams
+                self._credit(seq, attempt, outcome)
+                seq.broke = len(seq.attempts)
+                self._change(seq, State.BROKEN, engine)
+            elif outcome is not Outcome.READ:
                 if outcome is Outcome.NO_STATE and seq.reader:
                     seq.tried.append(seq.reader)  # the two may be cut off from each other: read elsewhere
                 # Work lost is done again only so often, whatever lost it: else a jam feeds itself.
@@ -190,12 +195,39 @@
             if self.again < 0:
                 self.again = 0.0
                 self._give_up(seq)
-            else:
+            elif not attempt.started_at:
                 self._route(seq)
         if seq.state in FINAL:
             self.seqs.pop(id, None)
         return self._done()
 
+    def goes_on(self, now: int, id: str, prompt: Prompt | None) -> list[Change]:
+        """A broken stream's turn: ``prompt`` counts the text so far now, and its SLO begins anew. None: it has
+        no turn any more."""
+        self.now, seq = now, self.seqs.get(id)
+        if seq and seq.state is State.BROKEN:
+            if prompt is None:
+                seq.abandon_at = now
+                self._give_up(seq)
+            else:
+                seq.prompt, seq.output, seq.arrived = prompt, prompt.hint, now
+                seq.slo_at = now + seq.row.slo + seq.row.slo_per_1000 * prompt.tokens // 1000
+                seq.abandon_at, seq.held = now + prompt.time_left, False
+                self._take_turns(seq)
+                self._route(seq)
+        return self._done()
+
+    def trickles(self, now: int, id: str, ordinal: int) -> list[Change]:
+        """A stream runs far slower than those of other engines: it is moved like one whose writer died."""
+        self.now, seq = now, self.seqs.get(id)
+        attempt = seq.out if seq else None
+        if attempt and attempt.ordinal == ordinal and attempt.started_at and seq.state is State.STREAMING:
+            others = [e for e in self._usable(seq, Role.WRITER, Role.MIXED) if e is not attempt.engine]
+            if others and self._may_go_on(seq, attempt):
+                self._failed(attempt, "trickles")
+                self._change(seq, State.STREAMING, attempt.engine, recalls=True)
+        return self._done()
+
     def client_left(self, now: int, id: str) -> list[Change]:
         self.now, seq = now, self.seqs.get(id)
         if seq and seq.state not in FINAL:
@@ -306,7 +338,7 @@
     def _credit(self, seq: Sequence, attempt: Attempt, outcome: Outcome) -> None:
         """A sequence counts for the path it was first sent down; bursts beyond a share do not count."""
         stream = self.now - attempt.started_at
-        if outcome is Outcome.GENERATED and attempt.started_at:
+        if outcome is Outcome.GENERATED and attempt.started_at and not seq.broke:  # else only a part
             row, engine = seq.row, attempt.engine
             row.mean_stream += STREAM_STEP * (stream - row.mean_stream) if row.mean_stream else stream
             row.streams += 1
@@ -316,7 +348,8 @@
                 engine.stream_pace += PACE_STEP * (min(3.0, stream / seq.output) - engine.stream_pace)
         if seq.cluster is None or seq.over_share or not seq.attempts:
             return
-        local = seq.attempts[0].engine.role is not Role.READER
+        first = seq.attempts[seq.broke if seq.broke < len(seq.attempts) else 0]
+        local = first.engine.role is not Role.READER
         won = (outcome is Outcome.GENERATED and 0 < attempt.started_at <= seq.slo_at
                and (not seq.output or stream <= STREAM_SLACK * seq.output))
         seq.cluster.tries[local] += 1
@@ -421,8 +454,8 @@
 
     def _mixed(self, seq: Sequence) -> Engine | None:
         """A mixed engine, by longest kept beginning. The slower its streams run, the less it may read."""
-        free = [e for e in self._usable(seq, Role.MIXED) if self._soon(
-            e, seq, max(self.local_part, SPILL if e.stream_pace < AT_EASE else 0) / max(1, e.stream_pace) ** 3)]
+        free = [e for e in self._usable(seq, Role.MIXED) if self._soon(e, seq, max(
+            self.local_part, SPILL if e.stream_pace < AT_EASE else 0) / max(1, e.stream_pace) ** 3)]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
     # Rules' guards: each in one place.
@@ -442,6 +475,14 @@
     def _repeats(self, seq: Sequence) -> bool:
         return seq.may_have_run is None or seq.row.effect is not Effect.ONCE_ONLY
 
+    def _may_go_on(self, seq: Sequence, attempt: Attempt) -> bool:
+        """A started stream has had its effect: once-only never goes on, tokened only inside its window (where
+        to, _may_send says), and nothing beyond the schedule attempts allowed."""
+        ran, effect = seq.may_have_run or attempt, seq.row.effect
+        in_window = effect is Effect.TOKENED and self.now - ran.sent_at < seq.row.window
+        return (self.settings.streams_go_on and len(seq.attempts) < self.settings.max_attempts
+                and (effect is Effect.REPEATABLE or in_window))
+
     def _is_cold(self, engine: Engine) -> bool:
         return 0 < engine.row.started_at and self.now - engine.row.started_at < self.settings.cold_time
 
@@ -488,27 +529,31 @@
         self._change(seq, State.READING if reads else State.WRITING, engine, min(left, round(patience)))
 
     def _give_up(self, seq: Sequence) -> None:
-        """Answered at once. A rejection only where the rules let the client repeat."""
+        """Answered at once. A rejection only where the rules let the client repeat. A broken stream that none
+        can take now is not given up yet: it waits for its next turn, as long as it may go on."""
+        if seq.broke and self.now < seq.abandon_at and self._may_go_on(seq, seq.attempts[-1]):
+            return self._change(seq, State.BROKEN)
         harmless = seq.may_have_run is None or seq.row.effect is Effect.REPEATABLE or (
-            seq.row.effect is Effect.TOKENED and seq.row.group == "all")
+            seq.row.effect is Effect.TOKENED and seq.row.group == "all" and not seq.broke)
         state = State.REJECTED if harmless else State.ABORTED
         if seq.attempts:
             self._credit(seq, seq.attempts[-1], Outcome.ERROR)
         self._change(seq, state, come_back=round(COME_BACK * self.settings.max_come_back) if harmless else 0)
 
     def _change(self, seq: Sequence, state: State, engine: Engine | None = None, time_out: int = 0,
-                come_back: int = 0) -> None:
+                come_back: int = 0, recalls: bool = False) -> None:
         """Every state change of a sequence. What a read left anywhere is let go with the end, and before a
         new read: 'no state' from a writer that is cut off does not prove that nothing is held elsewhere. A
         schedule attempt still out keeps its state waiting: then the end of that attempt lets go."""
         seq.state = state
         sends = state in (State.READING, State.WRITING)
-        lets_go = seq.pinned and (sends and not seq.held or state in FINAL and seq.out is None)
+        idle = state is State.BROKEN or state in FINAL and seq.out is None
+        lets_go = seq.pinned and (sends and not seq.held or idle)
         if lets_go:  # and again at the end: across a cut a state may outlast being let go once
             seq.held = False
         ordinal, name = seq.out.ordinal if seq.out else 0, engine.id if engine else ""
         # What a client has left is recalled: where many leave and come again, nobody's work fills the queues.
-        recalls = state is State.LEFT and seq.out is not None and self.settings.may_recall
+        recalls = recalls or state is State.LEFT and seq.out is not None and self.settings.may_recall
         self.changes.append(SequenceChange(seq.id, state, name, ordinal, time_out, come_back, lets_go,
                                            recalls))
         if state in FINAL and seq.out is None:
--- a/aniserudder/decisions/state.py
+++ b/aniserudder/decisions/state.py
@@ -69,6 +69,7 @@
     homes: list[Engine] = field(default_factory=list)  # presumed to keep its shared beginning
     tried: list[Engine] = field(default_factory=list)
     turns: list[Engine] = field(default_factory=list)  # cold engines that are due this sequence
+    broke: int = 0               # schedule attempts made when its stream last broke; 0: it never did
 
 
 @dataclass(slots=True, eq=False)
--- a/aniserudder/engines/codec.py
+++ b/aniserudder/engines/codec.py
@@ -2,9 +2,12 @@
 
 The protocol follows the publicly known convention for separate prefill and decode over a chat-completions API: a
 reader is asked for one token at most with ``kv_transfer_params: {"do_remote_decode": true}`` and returns transfer
-parameters that name the held state; a writer is given them back and streams. Three things the convention leaves open
+parameters that name the held state; a writer is given them back and streams. Four things the convention leaves open
 are ours: ``GET /v1/usage`` tells what an attempt ran, also long after; letting go of a held state is ``POST /v1/kv/release``, and an engine that has done nothing says so in
 ``error.code``: ``full`` or ``draining`` (503 or 429) and ``no_state`` (409). Any other refusal may have run.
+
+A stream that goes on is asked for by ``continue_final_message`` with the text so far as the assistant's last message. Where its
+own text begins the engine says in ``continues: {"at": bytes, "digest": xxh3 of the text before}``, in its first event.
 """
 from __future__ import annotations
 
@@ -49,9 +52,15 @@
     message: str = ""
 
 
+class Continues(msgspec.Struct):
+    at: int
+    digest: str
+
+
 class Chunk(msgspec.Struct):
     """One event of a writer's stream, as far as it is read here."""
     choices: list[Choice] = []
+    continues: Continues | None = None
     usage: UsageBody | None = None
     error: Problem | None = None
 
@@ -82,7 +91,11 @@
 
 def request(attempt: Attempt, node: str) -> tuple[list[tuple[str, str]], bytes]:
     """Headers and body of one schedule attempt."""
-    body = dict(attempt.request.body)
+    asked = attempt.request
+    body = dict(asked.body)
+    if asked.forced:
+        body |= {"messages": [*body["messages"], {"role": "assistant", "content": asked.forced}],
+                 "continue_final_message": True, "add_generation_prompt": False, "max_tokens": asked.prompt.max_output}
     if attempt.reads:
         body |= {"max_tokens": 1, "stream": False,
                  "kv_transfer_params": {"do_remote_decode": True, "do_remote_prefill": False}}
@@ -91,8 +104,8 @@
         if attempt.state is not None:
             body["kv_transfer_params"] = attempt.state
     headers = [("x-request-id", attempt.seq_id), ("x-attempt", str(attempt.ordinal)), ("x-node", node)]
-    if attempt.request.token:
-        headers.append(("x-repeat-token", attempt.request.token))
+    if asked.token:
+        headers.append(("x-repeat-token", asked.token))
     return headers, _encode(body)
 
 
@@ -135,14 +148,16 @@
 class Stream:
     """Takes the bytes of a writer's event stream apart.
 
-    ``feed`` returns the pieces of text that have become whole, and sets ``ended`` once the stream said how it ended.
+    ``feed`` returns the pieces of text that have become whole, and sets ``ended`` once the stream said how it ended,
+    ``continues`` once it said where its text begins.
     A line longer than ``most`` bytes ends it with an error: an engine must not fill the node's memory.
     """
 
-    __slots__ = ("ended", "_rest", "_most", "_usage", "_reason")
+    __slots__ = ("ended", "continues", "_rest", "_most", "_usage", "_reason")
 
     def __init__(self, most: int) -> None:
         self.ended: Ended | None = None
+        self.continues: Continues | None = None
         self._rest, self._most, self._usage, self._reason = b"", most, Usage(), ""
 
     def feed(self, data: bytes) -> list[str]:
@@ -176,6 +191,8 @@
             return self._failed(f"an event cannot be read: {wrong}"[:200])
         if chunk.error:
             return self._failed(f"{chunk.error.code or ''} {chunk.error.message}".strip()[:200] or "failed")
+        if chunk.continues:
+            self.continues = chunk.continues
         if chunk.usage:
             self._usage = chunk.usage.usage()
         for choice in chunk.choices:
--- a/aniserudder/engines/pool.py
+++ b/aniserudder/engines/pool.py
@@ -61,7 +61,8 @@
 class Run:
     """One schedule attempt on its connection; an ``Exchange``."""
 
-    __slots__ = ("pool", "attempt", "connection", "status", "stream", "collected", "over", "heard", "watch")
+    __slots__ = ("pool", "attempt", "connection", "status", "stream", "collected", "over", "heard", "watch", "held",
+                 "joined")
 
     def __init__(self, pool: EnginePool, attempt: Attempt) -> None:
         self.pool, self.attempt = pool, attempt
@@ -69,6 +70,7 @@
         self.status, self.collected, self.over, self.heard = 0, b"", False, 0.0
         self.stream: codec.Stream | None = None
         self.watch: IDelayedCall | None = None
+        self.held = self.joined = False
 
     def head(self, status: int) -> None:
         self.status = status
@@ -82,7 +84,11 @@
                 self.finish(codec.Ended(Outcome.ERROR, reason="the answer is too long"), drop=True)
             return
         self.heard = self.pool.reactor.seconds()
-        for piece in self.stream.feed(data):
+        pieces = self.stream.feed(data)
+        if self.stream.continues and not self.joined:
+            self.joined = True
+            self.attempt.continues(self.stream.continues.at, self.stream.continues.digest)
+        for piece in pieces:
             if self.over:
                 return
             if self.watch is None:
@@ -113,8 +119,18 @@
             self.pool.let_go(self.attempt.seq_id, self.attempt.engine, self.attempt.ordinal, None)
         self.attempt.ended(ended.outcome, ended.usage, ended.state, ended.reason)
 
+    def hold(self, held: bool) -> None:
+        """Leaves what comes in the kernel's buffers, so that the engine feels it; silence of our own making is none."""
+        self.held = held
+        transport = self.connection.transport if self.connection else None
+        if transport and transport.connected and not transport.disconnecting:
+            transport.pauseProducing() if held else transport.resumeProducing()
+        self.heard = self.pool.reactor.seconds()
+
     def close(self, drop: bool) -> None:
         """Nothing more is told of this attempt."""
+        if self.held and not drop:
+            self.hold(False)  # its connection is used again
         self.over = True
         self.pool.runs.pop(self.attempt, None)
         if self.watch and self.watch.active():
@@ -127,8 +143,8 @@
 
     def _silent(self) -> None:
         left = self.heard + self.pool.limits.stream_silence_ms / 1000 - self.pool.reactor.seconds()
-        if left > 0.001:
-            return self._watch(left)
+        if left > 0.001 or self.held:
+            return self._watch(max(left, 0.1))
         self.finish(codec.Ended(Outcome.CUT, reason="the stream fell silent"), drop=True)
 
 
@@ -211,6 +227,11 @@
             if attempt.reads and run.connection:  # the engine may have read before it saw the end
                 self.let_go(attempt.seq_id, attempt.engine, attempt.ordinal, None)
 
+    def hold(self, attempt: Attempt, held: bool) -> None:
+        run = self.runs.get(attempt)
+        if run:
+            run.hold(held)
+
     def let_go(self, seq_id: str, engine: str, ordinal: int, state: dict[str, Any] | None) -> None:
         """Delivers a release, tried a few times within the time that rules allow."""
         self.letting_go += 1
--- a/aniserudder/ledger/books.py
+++ b/aniserudder/ledger/books.py
@@ -56,6 +56,9 @@
         self.seq_id, self.ordinal, self.engine = inner.seq_id, inner.ordinal, inner.engine
         self.reads, self.request, self.state, self.time_out = inner.reads, inner.request, inner.state, inner.time_out
 
+    def continues(self, at: int, digest: str) -> None:
+        self.inner.continues(at, digest)
+
     def text(self, piece: str) -> None:
         self.books.saw(self.seq_id, self.ordinal)
         self.inner.text(piece)
@@ -85,6 +88,11 @@
         if metered:
             self.inner.call_off(metered)
 
+    def hold(self, attempt: Attempt, held: bool) -> None:
+        metered = self._out.get(attempt)
+        if metered:
+            self.inner.hold(metered, held)
+
     def let_go(self, seq_id: str, engine: str, ordinal: int, state: dict[str, Any] | None) -> None:
         self.inner.let_go(seq_id, engine, ordinal, state)
 
@@ -199,13 +207,13 @@
     def sent(self, attempt: MeteredAttempt) -> bool:
         """Before an attempt's first byte goes out. False: it could not be written and must not go."""
         sent = Sent(attempt.seq_id, attempt.ordinal, attempt.engine, attempt.reads, attempt.state is not None,
-                    attempt.request.prompt.tokens, attempt.request.prompt.max_output)
+                    attempt.request.prompt.tokens, attempt.request.prompt.max_output, attempt.request.forced_tokens)
         if not self._write([sent]):
             return False
         self.waiting[sent.seq, sent.ordinal] = (sent, self.reactor.seconds(), 0)
         known = self.open.get(sent.seq)
         if known:
-            known.one.works[sent.ordinal] = Work(sent.ordinal, sent.engine, sent.reads, sent.fetched)
+            known.one.works[sent.ordinal] = Work(sent.ordinal, sent.engine, sent.reads, sent.fetched, behind=sent.behind)
         return True
 
     def saw(self, seq: str, ordinal: int) -> None:
--- a/aniserudder/ledger/entries.py
+++ b/aniserudder/ledger/entries.py
@@ -27,6 +27,7 @@
     fetched: bool = False
     estimate: int = 0            # prompt tokens as the node estimated them
     most: int = 0                # written tokens that it may have at most
+    behind: int = 0              # tokens of the answer that other writers had sent before: it goes on from there
 
 
 class Told(msgspec.Struct, tag="told", tag_field="entry", omit_defaults=True):
@@ -80,7 +81,8 @@
             continue
         match entry:
             case Sent():
-                one.works.setdefault(entry.ordinal, Work(entry.ordinal, entry.engine, entry.reads, entry.fetched))
+                one.works.setdefault(entry.ordinal, Work(entry.ordinal, entry.engine, entry.reads, entry.fetched,
+                                                                  behind=entry.behind))
             case Told():
                 work = one.works.get(entry.ordinal)
                 if work and (not work.told or work.flag and not entry.flag):
--- a/aniserudder/tenants/billing.py
+++ b/aniserudder/tenants/billing.py
@@ -10,7 +10,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import date
 from decimal import ROUND_HALF_EVEN, Decimal
 
@@ -34,6 +34,7 @@
     outcome: str = ""
     told: bool = False           # an engine has said what ran
     flag: str = ""               # why its figures are not the engine's own
+    behind: int = 0              # tokens of the answer that other writers had sent before it
 
 
 @dataclass(slots=True)
@@ -104,18 +105,41 @@
 
 
 def charge(one: Try) -> tuple[list[Work], list[Work]]:
-    """Parts a try's attempts into those that brought the client what it got, and those that ran in vain."""
+    """Parts a try's attempts into those that brought the client what it got, and those that ran in vain.
+
+    Of a stream that went on after its writer was lost, each writer brought the client what the next one began behind. The
+    prompt is charged once, with the first of them: reading it again for the others is lost work, as are tokens that a
+    writer wrote and that never came through.
+    """
     works = [one.works[n] for n in sorted(one.works)]
     if one.final in ("rejected", ""):
         return [], works
-    writer = next((w for w in reversed(works) if not w.reads and w.written), None)
-    if writer is None:
+    writers = [w for w in works if not w.reads and w.written]
+    if not writers:
         return [], works
+    marks = [w.behind for w in writers[1:]] + [writers[-1].behind + writers[-1].written]
+    brought = {w.ordinal: min(w.written, mark - w.behind) for w, mark in zip(writers, marks) if mark > w.behind}
+    first = next(w for w in writers if w.ordinal in brought)
     fed = None
-    if writer.fetched:
-        fed = next((w for w in reversed(works) if w.reads and w.ordinal < writer.ordinal and w.outcome == "read"), None)
-    kept = [w for w in (fed, writer) if w is not None]
-    return kept, [w for w in works if w not in kept]
+    if first.fetched:
+        fed = next((w for w in reversed(works) if w.reads and w.ordinal < first.ordinal and w.outcome == "read"), None)
+    served, vain = [], []
+    for work in works:
+        if work is fed:
+            served.append(work)
+        elif work.ordinal in brought:
+            rest = work.written - brought[work.ordinal]
+            if work is first:
+                served.append(replace(work, written=brought[work.ordinal]) if rest else work)
+                if rest:
+                    vain.append(replace(work, read=0, kept=0, written=rest))
+            else:
+                served.append(replace(work, read=0, kept=0, written=brought[work.ordinal]))
+                if rest or work.read or work.kept:
+                    vain.append(replace(work, written=rest))
+        else:
+            vain.append(work)
+    return served, vain
 
 
 def operations(tries: Iterable[Try], recognise: int) -> list[list[Try]]:
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -40,6 +40,9 @@
     def call_off(self, attempt: Any) -> None:
         self.did.append(f"call off {attempt.seq_id}/{attempt.ordinal}")
 
+    def hold(self, attempt: Any, held: bool) -> None:
+        self.did.append(f"{'hold' if held else 'release'} {attempt.seq_id}/{attempt.ordinal}")
+
     def let_go(self, seq_id: str, engine: str, ordinal: int, state: Any) -> None:
         self.did.append(f"let go {seq_id}/{ordinal} at {engine}")
 
@@ -69,15 +72,16 @@
 class Bench:
     """A router with one reader and writers on a simulated clock."""
 
-    def __init__(self, engines: str = "r1 w1 w2", recorder: Any = None, seed: int = 1, **changes: Any) -> None:
+    def __init__(self, engines: str = "r1 w1 w2", recorder: Any = None, seed: int = 1, streams: Any = None,
+                 **changes: Any) -> None:
         self.clock, self.engines = task.Clock(), FakeEngines()
         self.clock.advance(1)
-        self.router = Router(settings(**changes), seed, self.engines, self.clock, recorder)
+        self.router = Router(settings(**changes), seed, self.engines, self.clock, recorder, streams=streams)
         self.router.roster([RosterRow(n, n[0], "east", Availability.RUNNING, 0, 1.0, 1) for n in engines.split()], True)
 
-    def take(self, id: str, kind: str = "note", whole: bool = False, tokens: int = 3000) -> FakeAnswer:
+    def take(self, id: str, kind: str = "note", whole: bool = False, tokens: int = 3000, journal: Any = None) -> FakeAnswer:
         answer = FakeAnswer()
-        self.router.take(id, Request(Prompt(kind, id, "", tokens, 0, 100, 0, 6 * S), {}, whole), answer)
+        self.router.take(id, Request(Prompt(kind, id, "", tokens, 0, 100, 0, 6 * S), {}, whole), answer, journal)
         return answer
 
     @property
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -30,6 +30,9 @@
         self.request = Request(Prompt("note", "", "", 10, 0, 6, 0, 1), body)
         self.pieces, self.outcome, self.got = [], None, None
 
+    def continues(self, at, digest):
+        self.joined = at, digest
+
     def text(self, piece):
         self.pieces.append(piece)
 
