Nodes continue broken streams; clients may return by event id; slow ones are ended

Journals, continuations and returns have to reach the sockets.

Each event has an id; a client that said it would may come back to the same node with Last-Event-ID and its key. Tokened repeats wait no longer than their window.

--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -12,12 +12,16 @@
 
 from .. import logs
 from ..core import NoRecord, Record, Router
+from ..core.router import StreamRules
 from ..engines import EnginePool
 from ..ledger.books import Books, MeteredEngines, Rules
 from ..ledger.store import LedgerBroken, Store
 from ..messages import Messages
 from ..roster import follow
 from ..settings import BadSettings, NodeSettings, load_tenants
+from ..settings.schema import Streams, micros
+from ..streams.pace import PaceRules
+from ..streams.recovery import Order, RecoveryRules
 from ..tenants.keeper import Keeper
 from ..tenants.tree import Tree
 
@@ -58,7 +62,8 @@
         engines = MeteredEngines(self.pool, self.books) if self.books else self.pool
         if self.books:
             self.books.engines = engines
-        self.router = Router(settings.decisions_settings(), seed, engines, reactor, recorder, self.log, settings.node)
+        self.router = Router(settings.decisions_settings(), seed, engines, reactor, recorder, self.log, settings.node,
+                             stream_rules(settings.streams))
         self.follower = follow(self.router, self.pool.locate, settings.roster, reactor, self.log)
         self.messages = Messages(settings, self.router, reactor, self.log, boot, self.books,
                                  lambda: self.pool.open)
@@ -166,6 +171,12 @@
             self._record.close()
 
 
+def stream_rules(streams: Streams) -> StreamRules:
+    """What the router is told of the settings of streams."""
+    recovery = RecoveryRules(order=Order(streams.order), part=streams.extra_reading, least_per_s=streams.least_extra_per_s)
+    return StreamRules(micros(streams.pause_ms), recovery, PaceRules(streams.trickle_times, micros(streams.trickle_ms)))
+
+
 def open_books(settings: NodeSettings, reactor: IReactorTCP, pool: EnginePool, log: Callable[..., None]) -> Books | None:
     """The books of a node, or None where its settings keep none.
 
--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -512,6 +512,8 @@
             if len(seq.attempts) + 1 < self.settings.max_attempts and seq.row.effect is not Effect.ONCE_ONLY:
                 expected += WAIT_PATIENCE * self.usual_wait
                 patience = max(expected, WAIT_SLO_PART * (seq.slo_at - seq.arrived))
+            if seq.may_have_run and seq.row.effect is Effect.TOKENED:  # no longer than repeats are dropped
+                patience = min(patience, seq.may_have_run.sent_at + seq.row.window - self.now)
             engine.streams += 1
             engine.sent_since += 1
         engine.reading += remainder
--- a/aniserudder/messages/codec.py
+++ b/aniserudder/messages/codec.py
@@ -90,37 +90,43 @@
 
 
 class Stream:
-    """Writes the events of one streamed answer."""
+    """Writes the events of one streamed answer, each with its id: the stream's, a full stop and the event's number."""
 
-    __slots__ = ("id", "model", "_words", "_text")
+    __slots__ = ("id", "model", "_words", "_text", "_id")
 
     def __init__(self, id: str, model: str, words: Vocabulary) -> None:
         self.id, self.model, self._words = id, model, words
         name = words[Event.TEXT]
-        self._text = b"event: %s\ndata: " % name.encode(), _encode(name)
+        self._id = f"id: {id}.".encode()
+        self._text = b"\nevent: %s\ndata: " % name.encode(), _encode(name)
 
-    def _event(self, event: Event, **fields: Any) -> bytes:
+    def _event(self, number: int, event: Event, **fields: Any) -> bytes:
         name = self._words[event]
-        return b"event: " + name.encode() + b"\ndata: " + _encode({"type": name, **fields}) + b"\n\n"
+        return (b"%s%d\nevent: %s\ndata: " % (self._id, number, name.encode()) + _encode({"type": name, **fields})
+                + b"\n\n")
 
-    def opened(self) -> bytes:
-        return self._event(Event.OPENED, message={
+    def opened(self, since: int = 1) -> bytes:
+        """Events 1 and 2, or the second of them alone."""
+        first = b"" if since > 1 else self._event(1, Event.OPENED, message={
             "id": self.id, "type": "message", "role": "assistant", "model": self.model, "content": [],
-            "stop_reason": None, "usage": {"input_tokens": 0, "output_tokens": 0}},
-        ) + self._event(Event.BLOCK_OPENED, index=0, content_block={"type": "text", "text": ""})
+            "stop_reason": None, "usage": {"input_tokens": 0, "output_tokens": 0}})
+        return first + self._event(2, Event.BLOCK_OPENED, index=0, content_block={"type": "text", "text": ""})
 
-    def text(self, piece: str) -> bytes:
+    def text(self, piece: str, number: int) -> bytes:
         head, name = self._text
-        return (head + b'{"type":' + name + b',"index":0,"delta":{"type":"text_delta","text":' + _encode(piece)
-                + b"}}\n\n")
-
-    def generated(self, reason: str, usage: Usage) -> bytes:
-        return (self._event(Event.BLOCK_CLOSED, index=0)
-                + self._event(Event.CHANGED, delta={"stop_reason": STOPS.get(reason, reason)}, usage=used(usage))
-                + self._event(Event.GENERATED))
-
-    def failed(self, kind: str, message: str, come_back_ms: int = 0) -> bytes:
-        return self._event(Event.FAILED, error=problem(kind, message, come_back_ms))
+        return (b"%s%d" % (self._id, number) + head + b'{"type":' + name
+                + b',"index":0,"delta":{"type":"text_delta","text":' + _encode(piece) + b"}}\n\n")
+
+    def ending(self, which: int, reason: str, usage: Usage, number: int) -> bytes:
+        """One of the three events of a complete answer's end."""
+        if which == 1:
+            return self._event(number, Event.BLOCK_CLOSED, index=0)
+        if which == 2:
+            return self._event(number, Event.CHANGED, delta={"stop_reason": STOPS.get(reason, reason)}, usage=used(usage))
+        return self._event(number, Event.GENERATED)
+
+    def failed(self, kind: str, message: str, come_back_ms: int, number: int) -> bytes:
+        return self._event(number, Event.FAILED, error=problem(kind, message, come_back_ms))
 
 
 def used(usage: Usage) -> dict[str, int]:
--- a/aniserudder/messages/mapping.py
+++ b/aniserudder/messages/mapping.py
@@ -6,6 +6,7 @@
 customer        the customer whose keys hold ``x-api-key`` or the bearer token of ``authorization``
 session         header ``x-session-id``; else ``metadata.session_id``; else ``metadata.user_id``; else the digest
                 (xxh3, 128 bits) of the system text and the first message. It is bound to the customer
+may return      header ``x-return-within-ms``: how long the client may be away, bounded by ``streams.return_ms``
 shared          digest of the system text, bound to the model: equal openings are kept together whoever sends them
 tokens          characters by ``tokens.chars_per_token``, corrected by what engines have counted (``Estimate``)
 abandon time    header ``x-abandon-after-ms``, at most the type's own; else the type's, longer by its prompt
@@ -74,7 +75,7 @@
             BadRequest: a header or field cannot be used.
             NoKey: a key is needed and none that is known was shown.
         """
-        customer = self._customer(headers)
+        customer = self.customer(headers)
         name = self._type(asked, headers)
         row = self.settings.types[name]
         system = codec.plain(asked.system)
@@ -98,7 +99,16 @@
         mark = f"{customer}/{key}" if key else ""
         return Request(prompt, body, not asked.stream, mark if row.effect == "tokened" else "", asked.model, mark)
 
-    def _customer(self, headers: dict[str, str]) -> str:
+    def returns(self, headers: dict[str, str]) -> int:
+        """Microseconds that the client may be away before it returns; 0: leaving is leaving."""
+        return min(micros(_number(headers, "x-return-within-ms")), micros(self.settings.streams.return_ms))
+
+    def customer(self, headers: dict[str, str]) -> str:
+        """The customer whose key is shown; empty: a stranger.
+
+        Raises:
+            NoKey: the key is nobody's, or one is needed.
+        """
         shown = headers.get("x-api-key") or headers.get("authorization", "").removeprefix("Bearer ").strip()
         customer = self.keys.get(shown, "")
         if not customer and (shown and self.keys or self.settings.messages.keys_needed):
--- a/aniserudder/messages/server.py
+++ b/aniserudder/messages/server.py
@@ -12,79 +12,68 @@
 from ..core.ports import Request, Usage
 from ..core.router import Router
 from ..ledger.books import Books, MeteredAnswer
-from ..settings.schema import NodeSettings
+from ..settings.schema import NodeSettings, micros
+from ..streams.journal import Journal, Shelf
+from ..streams.readers import ReaderRules, Reading, Refusal as NoReturn, returns
 from ..tenants.keeper import Refusal
 from ..wire.server import Bounds, Exchange, ServerFactory
 from . import codec
 from .gate import REFUSED_S, Gate
 from .mapping import Mapping, NoKey
+from .stream import GONE, ClientStream
 from .vocabulary import Vocabulary
 
 PATH = "/v1/messages"
 
 
-class ClientAnswer:
-    """One client's side of a sequence (``core.ports.Answer``), streamed or whole."""
+class WholeAnswer:
+    """One client's side of an answer that it reads when it is complete (``core.ports.Answer``)."""
 
-    __slots__ = ("exchange", "stream", "whole", "pieces", "messages", "estimated", "ticket")
+    __slots__ = ("messages", "exchange", "id", "model", "journal", "estimated", "ticket", "pieces")
 
-    def __init__(self, messages: Messages, exchange: Exchange, stream: codec.Stream, whole: bool,
-                 estimated: int, ticket: object) -> None:
-        self.ticket = ticket
-        self.messages, self.exchange, self.stream, self.whole = messages, exchange, stream, whole
+    def __init__(self, messages: Messages, exchange: Exchange, id: str, model: str, journal: Journal, estimated: int,
+                 ticket: object) -> None:
+        self.messages, self.exchange, self.id, self.model = messages, exchange, id, model
+        self.journal, self.estimated, self.ticket = journal, estimated, ticket
         self.pieces: list[str] = []
-        self.estimated = estimated
 
     def text(self, piece: str) -> None:
-        if self.whole:
-            self.pieces.append(piece)
-            return
-        if not self.exchange.began:
-            self._begin()
-        self.exchange.write(self.stream.text(piece))
+        self.pieces.append(piece)
 
     def generated(self, reason: str, usage: Usage) -> None:
-        self.messages.gate.answered(self.ticket)
+        self._over()
         self.messages.mapping.estimate.counted(self.estimated, usage.read)
-        if self.whole:
-            body = codec.whole(self.stream.id, self.stream.model, "".join(self.pieces), reason, usage)
-            return self.exchange.reply(200, body, self._names())
-        if not self.exchange.began:
-            self._begin()
-        self.exchange.write(self.stream.generated(reason, usage))
-        self.exchange.end()
+        body = codec.whole(self.id, self.model, "".join(self.pieces), reason, usage)
+        self.exchange.reply(200, body, [("x-sequence-id", self.id)])
 
     def rejected(self, come_back: int, reason: str) -> None:
-        self._failed(503, "rejected", reason, come_back)
+        self._over()
+        self.messages.failed(self.exchange, self.id, "rejected", reason, come_back)
 
     def aborted(self, reason: str) -> None:
-        self._failed(502, "aborted", reason, 0)
+        self._over()
+        self.messages.failed(self.exchange, self.id, "aborted", reason, 0)
 
-    def _failed(self, status: int, kind: str, reason: str, come_back: int) -> None:
+    def _over(self) -> None:
         self.messages.gate.answered(self.ticket)
-        millis = math.ceil(come_back / 1000)
-        if self.exchange.began:
-            self.exchange.write(self.stream.failed(kind, reason, millis))
-            return self.exchange.end()
-        headers = self._names()
-        if come_back:
-            headers += [("retry-after", str(math.ceil(come_back / 1_000_000))), ("retry-after-ms", str(millis))]
-        self.exchange.reply(status, codec.failure(kind, reason, millis), headers)
-
-    def _begin(self) -> None:
-        self.exchange.begin(200, self._names())
-        self.exchange.write(self.stream.opened())
-
-    def _names(self) -> list[tuple[str, str]]:
-        return [("x-sequence-id", self.stream.id)]
+        self.messages.shelf.forget(self.journal)
 
 
 @dataclass(slots=True, eq=False)
 class Comer:
-    """A request that was let in and is not taken up yet."""
+    """A request that was let in and is not taken up yet. ``returns``: microseconds that its client may be away."""
     exchange: Exchange
     request: Request
     ticket: object
+    returns: int
+
+
+@dataclass(slots=True, eq=False)
+class Kept:
+    """A stream as long as its journal is kept."""
+    stream: ClientStream
+    request: Request
+    tries: int = 1               # sequences that it took so far
 
 
 class Messages:
@@ -112,11 +101,18 @@
         limits = settings.limits
         rules = settings.admission
         self.gate = Gate(rules, clock, log, self._take_up, self._too_late, engines)
+        streams = settings.streams
         bounds = Bounds(limits.header_bytes, limits.body_bytes, limits.request_ms / 1000, limits.client_idle_ms / 1000,
-                        rules.show_ms / 1000, limits.client_buffer_bytes)
+                        rules.show_ms / 1000, limits.client_buffer_bytes, streams.send_buffer_bytes)
         few = Bounds(limits.header_bytes, limits.body_bytes, REFUSED_S, REFUSED_S, REFUSED_S, 65_536)
         self.factory = ServerFactory(clock, bounds, self._asked, self.gate, few)
         self._count = 0
+        self.clock = clock
+        self.shelf = Shelf(streams.journal_bytes, micros(streams.keep_ms))
+        self.reading = ReaderRules(streams.hold_bytes, micros(streams.slow_ms), streams.slow_bytes_per_s)
+        self.streams: dict[str, Kept] = {}  # by id, as long as their journals are kept
+        self.returned = 0      # clients that came back to a stream
+        self.slow = 0          # streams ended because their client read too slowly
 
     def stop(self) -> None:
         """Takes no new sequence; those taken are answered, and whoever comes is told."""
@@ -126,6 +122,8 @@
 
     def _asked(self, exchange: Exchange) -> None:
         path = exchange.path.partition("?")[0]
+        if path.startswith(f"{PATH}/") and exchange.method == "GET":
+            return self._returns(exchange, path.removeprefix(f"{PATH}/"))
         if path != PATH:
             return self._turn_away(exchange, 404, "bad_request", f"no such path, allowed: POST {PATH}")
         if exchange.method != "POST":
@@ -139,6 +137,7 @@
         try:
             asked = codec.decode(bytes(exchange.body))
             request = self.mapping.request(asked, exchange.headers)
+            returns_within = self.mapping.returns(exchange.headers)
         except codec.BadRequest as wrong:
             return self._turn_away(exchange, 400, "bad_request", str(wrong))
         except NoKey as wrong:
@@ -147,7 +146,7 @@
         if refused:
             return self._refuse_at_door(exchange, refused)
         exchange.body = bytearray()  # the request holds what is needed of it
-        comer = Comer(exchange, request, connection.ticket)
+        comer = Comer(exchange, request, connection.ticket, returns_within)
         exchange.gone = lambda reason: self._left_waiting(comer)
         row = self.settings.types[request.prompt.traffic_type]
         slo = (row.latency_slo_ms + row.slo_ms_per_1000_tokens * request.prompt.tokens / 1000) / 1000
@@ -160,16 +159,109 @@
             request = replace(request, prompt=replace(request.prompt, time_left=max(1, request.prompt.time_left - waited)))
         self._count += 1
         id = f"seq-{self.boot}-{self._count}"
-        stream = codec.Stream(id, request.model, self.words)
-        answer = ClientAnswer(self, exchange, stream, request.whole, request.prompt.tokens, comer.ticket)
+        self._begin(id, id, exchange, request, comer.ticket, comer.returns)
+
+    def _begin(self, id: str, sequence: str, exchange: Exchange, request: Request, ticket: object, returns: int,
+               again: Kept | None = None, after: int = 0) -> None:
+        """A sequence of stream ``id``; its first, or one that goes on behind a journal."""
         if self.books:
-            refusal = self.books.reserve(id, request)
+            refusal = self.books.reserve(sequence, request)
             if refusal:
-                self.gate.answered(comer.ticket)
+                self.gate.answered(ticket)
                 return self._refuse(exchange, refusal)
-            answer = MeteredAnswer(self.books, answer, id)
-        exchange.gone = lambda reason: self._left(id, comer.ticket)
-        self.router.take(id, request, answer)
+        now = round(self.clock.seconds() * 1_000_000)
+        journal = again.stream.journal if again else self.shelf.open(id, request.prompt.customer, now)
+        if request.whole:
+            answer = WholeAnswer(self, exchange, id, request.model, journal, request.prompt.tokens, ticket)
+            exchange.gone = lambda reason: self._left(sequence, ticket, journal)
+        else:
+            writer = codec.Stream(id, request.model, self.words)
+            answer = ClientStream(self, self.clock, exchange, journal, writer, sequence, self.reading, returns,
+                                  request.prompt.tokens, ticket, after)
+            self.streams[id] = Kept(answer, request, again.tries + 1 if again else 1)
+            if again:
+                answer.attach(exchange, after, ticket)
+            if len(self.streams) > 2 * len(self.shelf) + 100:
+                self.streams = {n: k for n, k in self.streams.items() if self.shelf.find(n)}
+        if self.books:
+            answer = MeteredAnswer(self.books, answer, sequence)
+        self.router.take(sequence, request, answer, journal)
+
+    # Clients that return.
+
+    def _returns(self, exchange: Exchange, id: str) -> None:
+        """``GET /v1/messages/<stream>`` with ``Last-Event-ID``: goes on after that event."""
+        connection = exchange.connection
+        if connection.refused is not None:
+            return self._refuse_at_door(exchange, connection.refused)
+        self.shelf.tick(round(self.clock.seconds() * 1_000_000))
+        try:
+            customer = self.mapping.customer(exchange.headers)
+            after = returns(id, exchange.headers.get("last-event-id"), customer, self.boot, self.shelf.find(id))
+        except NoKey as wrong:
+            return self._turn_away(exchange, 401, "no_key", str(wrong))
+        except NoReturn as wrong:
+            return self._turn_away(exchange, wrong.status, "bad_request", str(wrong))
+        kept = self.streams.get(id)
+        if kept is None:
+            return self._turn_away(exchange, 404, "bad_request", "no such stream is kept for this key")
+        refused = self.gate.asks(connection.ticket, customer)
+        if refused:
+            return self._refuse_at_door(exchange, refused)
+        self.returned += 1
+        stream, journal = kept.stream, kept.stream.journal
+        resumes = (self.settings.streams.resume == "client" and journal.final is not None and journal.final.kind == "aborted"
+                   and journal.final.reason not in GONE and journal.pieces > 0 and not self.stopping
+                   and self.settings.types[kept.request.prompt.traffic_type].effect == "repeatable")
+        if resumes:
+            return self._resume(exchange, id, kept, after)
+        stream.attach(exchange, after, connection.ticket)
+        if stream.state is Reading.OVER:
+            self.gate.answered(connection.ticket)
+
+    def _resume(self, exchange: Exchange, id: str, kept: Kept, after: int) -> None:
+        """The client comes again to a stream that broke: it goes on behind the text so far, as a sequence of its own."""
+        journal, asked = kept.stream.journal, kept.request
+        fresh = journal.pieces - asked.forced_tokens
+        prompt = replace(asked.prompt, tokens=asked.prompt.tokens + fresh,
+                         max_output=max(1, asked.prompt.max_output - fresh))
+        request = replace(asked, prompt=prompt, forced=journal.text(), forced_tokens=journal.pieces)
+        journal.reopen()
+        self._begin(id, f"{id}.{kept.tries}", exchange, request, exchange.connection.ticket, kept.stream.returns, kept, after)
+
+    # What streams ask (``stream.Owner``).
+
+    def answered(self, stream: ClientStream) -> None:
+        self.gate.answered(stream.ticket)
+        final = stream.journal.final
+        if final.kind == "generated":
+            self.mapping.estimate.counted(stream.estimated, final.read)
+        if not stream.journal.owner:
+            self.shelf.forget(stream.journal)
+
+    def refused(self, exchange: Exchange, kind: str, reason: str, come_back: int) -> None:
+        self.failed(exchange, "", kind, reason, come_back)
+
+    def hold(self, id: str, held: bool) -> None:
+        self.router.hold(id, held)
+
+    def gave_up(self, stream: ClientStream, reason: str) -> None:
+        """``reason`` empty: its client left."""
+        self.slow += bool(reason)
+        if reason:
+            self.log("client too slow", level="warning", seq=stream.sequence, reason=reason)
+        self.gate.answered(stream.ticket)
+        self.router.client_left(stream.sequence)
+        if self.books:
+            self.books.final(stream.sequence, "aborted" if reason else "left")
+
+    def failed(self, exchange: Exchange, id: str, kind: str, reason: str, come_back: int) -> None:
+        """A final answer that comes before any text: 503 for rejected, 502 for aborted."""
+        millis = math.ceil(come_back / 1000)
+        headers = [("x-sequence-id", id)] if id else []
+        if come_back:
+            headers += [("retry-after", str(math.ceil(come_back / 1_000_000))), ("retry-after-ms", str(millis))]
+        exchange.reply(503 if kind == "rejected" else 502, codec.failure(kind, reason, millis), headers)
 
     def _too_late(self, comer: Comer) -> None:
         """It waited longer than its time allowed: it never was a sequence."""
@@ -190,8 +282,9 @@
         exchange.reply(status, codec.failure("rejected", refused.why.value, millis),
                        [("retry-after", str(math.ceil(refused.come_back))), ("retry-after-ms", str(millis))])
 
-    def _left(self, id: str, ticket: object) -> None:
+    def _left(self, id: str, ticket: object, journal: Journal) -> None:
         self.gate.answered(ticket)
+        self.shelf.forget(journal)
         self.router.client_left(id)
         if self.books:
             self.books.final(id, "left")
--- a/aniserudder/settings/schema.py
+++ b/aniserudder/settings/schema.py
@@ -91,6 +91,29 @@
     let_go_tries: Annotated[int, Field(ge=1, le=16)] = Field(4, description="tries to deliver one letting go")
 
 
+class Streams(Part):
+    """Streams that outlive their writers. Each bound has its counter or log line, see docs/operate-streams.md."""
+    resume: Literal["node", "client", "off"] = Field(
+        "node", description="who continues a broken stream: the node itself, the client that comes again, or nobody")
+    pause_ms: Annotated[float, Field(ge=0, le=60_000)] = Field(4_000, description="longest pause before an honest end")
+    journal_bytes: Annotated[int, Field(ge=65_536)] = Field(67_108_864, description="text kept of all streams of the node")
+    keep_ms: Millis = Field(10_000, description="what a finished stream's journal is kept for")
+    return_ms: Millis = Field(3_000, description="longest wait for a client that said it would return; 0: none may")
+    order: Literal["at once", "fifo", "deadline", "density", "save most"] = Field(
+        "save most", description="whose turn it is after many streams broke")
+    extra_reading: Annotated[float, Field(ge=0, le=4)] = Field(
+        0.25, description="reading for broken streams, as a part of what new sequences read")
+    least_extra_per_s: Annotated[float, Field(gt=0)] = Field(
+        20_000, description="tokens a second that all nodes together may read again in any case")
+    trickle_times: Annotated[float, Field(ge=2)] = Field(8, description="a stream so many times slower than its peers' is moved")
+    trickle_ms: Annotated[float, Field(ge=50)] = Field(700, description="and not before its tokens are so far apart")
+    slow_bytes_per_s: Annotated[int, Field(ge=0)] = Field(200, description="least rate of a client for which something waits")
+    slow_ms: Annotated[float, Field(gt=0)] = Field(10_000, description="a client that takes nothing for so long is ended")
+    hold_bytes: Count = Field(65_536, description="text that waits for one client before its writer is held back")
+    send_buffer_bytes: Annotated[int, Field(ge=4_096)] = Field(
+        65_536, description="the kernel's send buffer of a client connection: what lies there cannot be taken back")
+
+
 class Tokens(Part):
     """How prompt tokens are estimated before any engine has counted them."""
     chars_per_token: Annotated[float, Field(gt=0, le=64)] = 4.0
@@ -263,6 +286,7 @@
     admission: Admission = Admission()
     rules: Rules = Rules()
     limits: Limits = Limits()
+    streams: Streams = Streams()
     tokens: Tokens = Tokens()
     writers_read: bool = True
     may_recall: bool = True
@@ -305,4 +329,5 @@
             report_fields=tuple(self.report_fields), max_attempts=self.limits.max_attempts,
             max_come_back=micros(self.limits.max_come_back_ms), cold_share=self.rules.cold_share,
             cold_time=micros(self.rules.cold_ms), fall_multiple=self.rules.fall_multiple,
-            allowances={name: c.allowance_per_s for name, c in self.customers.items() if c.allowance_per_s})
+            allowances={name: c.allowance_per_s for name, c in self.customers.items() if c.allowance_per_s},
+            streams_go_on=self.streams.resume == "node")
--- a/aniserudder/streams/journal.py
+++ b/aniserudder/streams/journal.py
@@ -89,7 +89,7 @@
     def text(self, since: int = 0, until: int | None = None) -> str:
         """The text of the events after number ``since``, up to and with number ``until``."""
         self._there()
-        begin, end = self._position(since), self.length if until is None else self._position(until)
+        begin, end = self.position(since), self.length if until is None else self.position(until)
         return self._text[begin:end].decode("utf-8", "surrogatepass")
 
     def beginning(self, at: int) -> str:
@@ -102,12 +102,19 @@
         self._there()
         return self._text[at:at + len(data)] == data
 
+    def reopen(self) -> None:
+        """Its client came again, and it goes on behind what was sent."""
+        self.final = None
+        if self._shelf:
+            self._shelf.reopened(self)
+
     def drop(self) -> None:
         """Gives the text up; numbers stay."""
         self.whole = False
         self._text = bytearray()
 
-    def _position(self, event: int) -> int:
+    def position(self, event: int) -> int:
+        """UTF-8 bytes of the text up to and with that event."""
         return self._ends[event - 1] if event else 0
 
     def _there(self) -> None:
@@ -184,6 +191,9 @@
             self._finished[journal] = self._now
             self._trim()
 
+    def reopened(self, journal: Journal) -> None:
+        self._finished.pop(journal, None)
+
     def _trim(self) -> None:
         while self.used > self.most and self._finished:
             self.gone += 1
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -5,6 +5,7 @@
 """
 from __future__ import annotations
 
+import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -40,16 +41,17 @@
     idle_s: float = 60.0
     first_s: float = 0.0   # until a fresh connection begins its first request; 0: as between two
     waiting: int = 1_048_576
+    send_buffer: int = 0   # bytes of the kernel's send buffer, and as many of our own; 0: as the system has it
 
 
 class Exchange:
     """One request and its answer.
 
     ``gone`` is called once if the client leaves before the answer is complete, or is cut off because more than
-    ``Bounds.waiting`` bytes wait for it.
+    ``Bounds.waiting`` bytes wait for it. ``room`` is called whenever the connection has sent all that waited.
     """
 
-    __slots__ = ("method", "path", "headers", "body", "gone", "began", "old", "last", "_connection")
+    __slots__ = ("method", "path", "headers", "body", "gone", "room", "began", "old", "last", "_connection", "_last")
 
     def __init__(self, connection: ServerConnection) -> None:
         self.method = self.path = ""
@@ -57,14 +59,21 @@
         self.body = bytearray()
         self.old = self.last = False  # HTTP/1.0; the client wants no further exchange
         self.gone: Callable[[str], None] | None = None
+        self.room: Callable[[], None] | None = None
         self.began = False
         self._connection: ServerConnection | None = connection
+        self._last: ServerConnection | None = None
 
     @property
     def open(self) -> bool:
         """Whether an answer can still be given."""
         return self._connection is not None
 
+    @property
+    def roomy(self) -> bool:
+        """Whether the connection takes more at the moment, without keeping it in memory."""
+        return self._connection is not None and not self._connection.paused
+
     @property
     def peer(self) -> str:
         """The other side's address."""
@@ -97,8 +106,14 @@
         """The answer is complete."""
         connection, self._connection = self._connection, None
         if connection:
+            self._last = connection
             connection.finished()
 
+    def close_soon(self) -> None:
+        """After ``end``: the connection is not used again, and closes once what is written got out."""
+        if self._last:
+            self._last.stop()
+
     def cut(self) -> None:
         """Closes the connection in the middle of things, without a word."""
         connection, self._connection = self._connection, None
@@ -136,12 +151,15 @@
         self._timer: IDelayedCall | None = None
         self._waiting: list[bytes] = []
         self._waits = 0
-        self._paused = False
+        self.paused = False
 
     # The socket.
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        if self.bounds.send_buffer:  # what a slow client leaves there nobody can take back
+            self.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.bounds.send_buffer)
+            self.transport.bufferSize = self.bounds.send_buffer
         self.transport.registerProducer(self, True)
         self.peer = self.transport.getPeer().host
         self._change(At.IDLE)
@@ -175,13 +193,15 @@
         self.on_gone(self)
 
     def pauseProducing(self) -> None:
-        self._paused = True
+        self.paused = True
 
     def resumeProducing(self) -> None:
-        self._paused = False
+        self.paused = False
         waiting, self._waiting, self._waits = self._waiting, [], 0
         if waiting:
             self.transport.write(b"".join(waiting))
+        if not self.paused and self._exchange and self._exchange.room:
+            self._exchange.room()
         if self.state is At.CLOSED:
             self.transport.loseConnection()
 
@@ -275,7 +295,7 @@
             self._take()
 
     def _write(self, data: bytes) -> None:
-        if not self._paused:
+        if not self.paused:
             return self.transport.write(data)
         self._waiting.append(data)
         self._waits += len(data)
