--- a/aniserudder/messages/codec.py
+++ b/aniserudder/messages/codec.py
@@ -126,6 +126,7 @@
         return self._event(number, Event.GENERATED)
 
     def failed(self, kind: str, message: str, come_back_ms: int, number: int) -> bytes:
+        """It has the number of the event before it: a client that comes again to a broken stream goes on from there."""
         return self._event(number, Event.FAILED, error=problem(kind, message, come_back_ms))
 
 
--- a/aniserudder/messages/server.py
+++ b/aniserudder/messages/server.py
@@ -14,7 +14,7 @@
 from ..ledger.books import Books, MeteredAnswer
 from ..settings.schema import NodeSettings, micros
 from ..streams.journal import Journal, Shelf
-from ..streams.readers import ReaderRules, Reading, Refusal as NoReturn, returns
+from ..streams.readers import OPENING, ReaderRules, Reading, Refusal as NoReturn, returns
 from ..tenants.keeper import Refusal
 from ..wire.server import Bounds, Exchange, ServerFactory
 from . import codec
@@ -227,7 +227,8 @@
                          max_output=max(1, asked.prompt.max_output - fresh))
         request = replace(asked, prompt=prompt, forced=journal.text(), forced_tokens=journal.pieces)
         journal.reopen()
-        self._begin(id, f"{id}.{kept.tries}", exchange, request, exchange.connection.ticket, kept.stream.returns, kept, after)
+        self._begin(id, f"{id}.{kept.tries}", exchange, request, exchange.connection.ticket, kept.stream.returns, kept,
+                    min(after, OPENING + journal.pieces))
 
     # What streams ask (``stream.Owner``).
 
--- a/aniserudder/messages/stream.py
+++ b/aniserudder/messages/stream.py
@@ -98,7 +98,7 @@
     def attach(self, exchange: Exchange, after: int, ticket: object) -> None:
         """The client is back: its events go on after that number. An older connection is closed."""
         old, self.exchange = self.exchange, None
-        if old:
+        if old and old is not exchange:
             old.gone = None
             old.cut()
         self.exchange, self.cursor, self.ticket = exchange, after, ticket
@@ -136,7 +136,7 @@
         final = journal.final
         if final.kind == "generated":
             return writer.ending(piece - journal.pieces, final.reason, Usage(final.read, final.kept, final.written), at)
-        return writer.failed(final.kind, final.reason, -(-final.come_back // 1000), at)
+        return writer.failed(final.kind, final.reason, -(-final.come_back // 1000), at - 1)
 
     # A slow client.
 
@@ -175,7 +175,7 @@
         self.journal.end(Final("aborted", reason))
         self._change(Reading.OVER)
         if running:
-            exchange.write(self.codec.failed("aborted", reason, 0, self.cursor + 1))
+            exchange.write(self.codec.failed("aborted", reason, 0, self.cursor))
         exchange.gone = None
         exchange.end()
         exchange.close_soon()
--- a/aniserudder/standins/engine.py
+++ b/aniserudder/standins/engine.py
@@ -281,7 +281,7 @@
         output = length(texts[-1], int(body["max_tokens"]) + there) - there if not reads else 1
         salt = f"{h.get('x-request-id')}/{h.get('x-attempt')}" if self.spec.samples else ref
         repeats = min(3, there) if self.faults.forced == "repeats" else 0
-        if self.faults.forced == "ignores":
+        if forced and self.faults.forced == "ignores":
             salt, forced, there = f"other {salt}", "", 0
         return Work(exchange, ref, h.get("x-request-id", ""), h.get("x-attempt", ""),
                     h.get("x-node", ""), body["model"], reads, keys[-1][1], keys, max(0, output), state,
--- a/aniserudder/streams/readers.py
+++ b/aniserudder/streams/readers.py
@@ -1,7 +1,8 @@
 """Clients that read slowly, and clients that come back: what is done with them.
 
 Events of a stream are numbered: 1 and 2 open it, piece n of the text is event n + 2, then come the three of a complete answer
-or the one of a failed one. An event's id is the stream's id, a full stop and that number.
+or the one of a failed one. An event's id is the stream's id, a full stop and that number; a failed end has the id of the event
+before it, so that a client which comes again to a broken stream goes on from its text.
 """
 from __future__ import annotations
 
