--- a/tests/story.py
+++ b/tests/story.py
@@ -62,6 +62,14 @@
     def start(self, id, ordinal):
         return self.show(f"started {id} {ordinal}", self.node.started(self.now, id, ordinal))
 
+    def turn(self, id, tokens):
+        """A broken stream's turn; without tokens it has none any more."""
+        prompt = Prompt("", id, "", tokens, 0, 380, 0, 4 * S) if tokens else None
+        return self.show(f"turn of {id} {tokens}", self.node.goes_on(self.now, id, prompt))
+
+    def trickle(self, id, ordinal):
+        return self.show(f"{id} {ordinal} trickles", self.node.trickles(self.now, id, ordinal))
+
     def leave(self, id):
         return self.show(f"client left {id}", self.node.client_left(self.now, id))
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -248,3 +248,37 @@
         s = Story("m1")
         s.node.engines["m1"].stream_pace = pace
         s.arrive("a", tokens=7000).check(f"mixed_at_{pace}")
+
+
+def test_broken_streams_go_on_where_they_may():
+    """Repeatable: its turn comes from the host; twice broken; out of schedule attempts. Once-only: aborted at once."""
+    s = Story("r1 r2 w1 w2 w3", streams_go_on=True, max_attempts=6).arrive("a").after(0.1).end("a", 0, Outcome.READ)
+    s.after(0.05).start("a", 1).after(1).end("a", 1, Outcome.CUT).after(0.2).turn("a", 3020)
+    s.after(0.1).end("a", 2, Outcome.READ).after(0.05).start("a", 3).after(1).end("a", 3, Outcome.CUT)
+    s.turn("a", 3040).after(0.1).end("a", 4, Outcome.READ).after(0.05).start("a", 5).after(1).end("a", 5, Outcome.ERROR)
+    s.arrive("b", "post").after(0.1).end("b", 0, Outcome.READ).after(0.05).start("b", 1).after(1).end("b", 1, Outcome.CUT)
+    s.check("streams_go_on")
+
+
+def test_a_broken_stream_waits_where_none_can_take_it_and_ends_when_told():
+    """What was read for it is let go while it waits. No turn any more: rejected, as it is repeatable."""
+    s = Story("r1 w1", streams_go_on=True, max_attempts=6).arrive("a").after(0.1).end("a", 0, Outcome.READ)
+    s.after(0.05).start("a", 1).roster("w1", availability=Availability.GONE).after(1).end("a", 1, Outcome.CUT)
+    s.turn("a", 3020).after(1).end("a", 2, Outcome.READ).after(0.2).turn("a", 3020).after(0.5).turn("a", 0)
+    s.check("stream_waits")
+
+
+def test_a_tokened_stream_goes_on_inside_its_window_alone():
+    s = Story("r1 w1 w2 wx", streams_go_on=True, max_attempts=9).arrive("a", "mark").after(0.1).end("a", 0, Outcome.READ)
+    s.after(0.05).start("a", 1).after(1).end("a", 1, Outcome.CUT).turn("a", 3020).after(0.1).end("a", 2, Outcome.READ)
+    s.after(0.05).start("a", 3).after(5).end("a", 3, Outcome.CUT)
+    s.check("tokened_stream")
+
+
+def test_a_trickling_stream_is_moved_where_another_writer_can_take_it():
+    s = Story("r1 w1 w2", streams_go_on=True, max_attempts=6)
+    for id, kind in (("a", "note"), ("b", "post")):
+        s.arrive(id, kind).after(0.1).end(id, 0, Outcome.READ).after(0.05).start(id, 1).after(1).trickle(id, 1)
+    s.end("a", 1, Outcome.RECALLED).turn("a", 3020).after(0.1).end("a", 2, Outcome.READ).after(0.05).start("a", 3)
+    s.roster("w1", availability=Availability.GONE).roster("w2", availability=Availability.GONE).after(1).trickle("a", 3)
+    s.check("trickles")
