--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -3,12 +3,17 @@
 
 import json
 import sys
+from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
 from ..settings import BadSettings, NodeSettings, load
 
+if TYPE_CHECKING:
+    from ..rehearsal import audit as judge
+
 
 class Plain(click.Group):
     """Bad input is one plain line on standard error and exit 2, whichever command met it."""
@@ -103,7 +108,10 @@
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep nodes' settings, logs and decision records there.")
 @click.option("--list", "names", is_flag=True, help="Name the shipped days.")
 @click.option("--quiet", is_flag=True, help="No lines of progress.")
-def rehearse(day: str | None, seed: int, record: str | None, keep: str | None, names: bool, quiet: bool) -> None:
+@click.option("--resume", type=click.Choice(["node", "client", "off"]), help="Who continues broken streams, whatever the day says.")
+@click.option("--plot", "picture", type=click.Path(dir_okay=False), help="Of a day with a twin: also write a PNG there.")
+def rehearse(day: str | None, seed: int, record: str | None, keep: str | None, names: bool, quiet: bool, resume: str | None,
+             picture: str | None) -> None:
     """Play DAY (a shipped name or a YAML file) on loopback and check the rules from the sockets.
 
     Exit 1 if a rule is broken, a node fails or a decision record does not replay.
@@ -123,10 +131,13 @@
     if not day:
         fail("DAY is missing: a shipped name (see --list) or a YAML file")
     form = find(day)
+    if resume:
+        form = form.model_copy(update={"twin": "", "streams": form.streams.model_copy(update={"resume": resume})})
     plan = draw(form, seed)
     click.echo(f"{day}, seed {seed}: plan {plan.digest}, {len(plan.ops)} operations, {len(plan.strikes)} troubles, "
                f"{len(plan.nodes)} nodes, {len(plan.engines)} engines, {len(form.zones)} zones")
     say = (lambda line: None) if quiet else (lambda line: click.echo(f"  {line}"))
+    twin = play_twin(day, seed, say) if form.twin else None
     try:
         out = open(record, "wb") if record else None
     except OSError as problem:
@@ -147,6 +158,12 @@
                + (f"UNEQUAL: {ran.unequal}" if ran.unequal else "all decided alike"))
     click.echo(report.last_line(verdict))
     differs = bool(agreed) and report.show_bills(agreed[0], Console(width=150))
+    if twin is not None:
+        from ..rehearsal import streams
+        kept, without = streams.account(seen), streams.account(twin)
+        if picture:
+            streams.plot(kept, without, picture)
+        differs = report.show_streams(kept, without, verdict, Console(width=150)) or differs
     if seen.floods:
         for line in ran.lines:
             if line["what"] == "flooded":
@@ -158,6 +175,26 @@
     sys.exit(1 if verdict.broken or ran.trouble or ran.unequal or differs else 0)
 
 
+def play_twin(day: str, seed: int, say: Callable[[str], None]) -> judge.Record:
+    """The same day without continuation, in a process of its own: a reactor runs once in a process's life."""
+    import subprocess
+    import tempfile
+
+    from ..rehearsal import audit as judge
+    say("the day without continuation comes first")
+    with tempfile.TemporaryDirectory(prefix="rehearsal-") as folder:
+        record = f"{folder}/without.jsonl"
+        done = subprocess.run([sys.executable, "-m", "aniserudder", "rehearse", day, "--seed", str(seed), "--resume", "off",
+                               "--record", record, "--quiet"], capture_output=True, text=True)
+        said = done.stdout.strip().rpartition("\n")[2]
+        if done.returncode:
+            click.echo(f"the day without continuation failed: {done.stderr.strip() or said}", err=True)
+            sys.exit(1)
+        say(said)
+        with open(record, "rb") as lines:
+            return judge.read(lines)
+
+
 @main.command()
 @click.argument("record", type=click.Path(dir_okay=False))
 def audit(record: str) -> None:
--- a/aniserudder/rehearsal/audit.py
+++ b/aniserudder/rehearsal/audit.py
@@ -70,6 +70,8 @@
     held_back: bool
     end: int = -1
     result: str = ""
+    forced: int = 0   # words of a forced beginning
+    read: int = 0     # prompt tokens that it read
 
 
 @dataclass(slots=True)
@@ -84,6 +86,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     effects: int = 0
     repeats: int = 0
+    back: int = 0     # times that its client came back
 
 
 class Record:
@@ -120,7 +123,8 @@
                 case "first" | "answered" | "left" | "lost" | "gave_up" | "malformed" | "extra":
                     self._client(line)
                 case "attempt":
-                    one = Attempt(at, line["engine"], line["node"], line["reads"], bool(line.get("held_back")))
+                    one = Attempt(at, line["engine"], line["node"], line["reads"], bool(line.get("held_back")),
+                                  forced=line.get("forced", 0))
                     out[line["engine"], line["ref"]].append(one)
                     self.by_engine[line["engine"]].append(one)
                     known = self.tries.get(line["ref"])
@@ -129,7 +133,9 @@
                     waiting = out[line["engine"], line["ref"]]
                     if waiting:
                         one = waiting.pop(0)
-                        one.end, one.result = at, line["result"]
+                        one.end, one.result, one.read = at, line["result"], line.get("read", 0)
+                case "back":
+                    self.tries[line["ref"]].back += 1
                 case "effect" | "repeat":
                     self.effects.append(line)
                     known = self.tries.get(line["ref"])
@@ -275,8 +281,8 @@
         if timely > at + one.asked["abandon_us"] + slack + record.stalled(at, timely):
             broke(f"answered {(timely - at) / 1000:.0f} ms after it was asked, abandoned after "
                   f"{one.asked['abandon_us'] / 1000:.0f} ms", timely)
-        if not final["in_order"]:
-            broke("text is missing or doubled", final["at"])
+        if not final["in_order"] or not final.get("alike", True):
+            broke("text is missing, doubled or another than its engines' reference", final["at"])
         if final["kind"] == "generated" and not one.effects + one.repeats:
             broke("called generated, and no engine generated it", final["at"])
         for attempt in one.attempts:
--- a/aniserudder/rehearsal/day.py
+++ b/aniserudder/rehearsal/day.py
@@ -10,7 +10,7 @@
 from pydantic import Field, model_validator
 
 from ..settings import BadSettings, load, load_text
-from ..settings.schema import Admission, Name, Part, TenantForm, TrafficType
+from ..settings.schema import Admission, Name, Part, Streams, TenantForm, TrafficType
 
 Seconds = Annotated[float, Field(ge=0, le=600)]
 Share = Annotated[float, Field(ge=0, le=1)]
@@ -18,7 +18,8 @@
 
 Trouble = Literal["balancer_crash", "node_stop", "flush", "hang", "slow", "zone_cut", "preempt", "mass_restart", "pauses",
                   "answer_lost", "give_up", "burst", "heavy_tail", "hot_key", "refuse", "reset_before", "reset_after",
-                  "garble", "roster_away", "role_swap", "ledger_crash", "flood"]
+                  "garble", "roster_away", "role_swap", "ledger_crash", "flood",
+                  "trickle"]
 
 
 class DayRules(Part):
@@ -68,6 +69,7 @@
     try_share: Span = [0.7, 1.0]
     front_notice_ms: float = 1200
     customers: dict[Name, Annotated[float, Field(gt=0)]] = Field({"members": 1.0}, description="their parts of the traffic")
+    returns: Share = Field(0.0, description="of the streams: those whose client loses its connection and comes back")
     strangers: Share = Field(0.0, description="of the operations: those whose client shows no key")
     marked: Share = Field(0.0, description="of the operations that are not tokened: those that carry a key of their own")
 
@@ -81,6 +83,7 @@
     part: Annotated[float, Field(gt=0, le=1)] | None = None
     kinds: list[Name] = Field(default_factory=list)
     zone: str = ""
+    rack: int | None = None
     size: Annotated[float, Field(gt=0)] = 2.0
     share: Share = 0.3
     late_s: Seconds = Field(0.5, description="how late the roster tells of it")
@@ -103,6 +106,8 @@
     ledger: bool = Field(False, description="nodes keep ledgers, and a ledger service runs")
     tenants: dict[Name, TenantForm] = Field(default_factory=dict)
     admission: Admission = Admission()
+    streams: Streams = Streams()
+    twin: Literal["", "streams"] = Field("", description="also played without continuation, to be compared with")
     descriptors: Annotated[int, Field(ge=64)] = Field(4096, description="limit of each node's process")
 
     @model_validator(mode="after")
--- a/aniserudder/rehearsal/plan.py
+++ b/aniserudder/rehearsal/plan.py
@@ -85,7 +85,7 @@
             strike.nodes = sorted(chance.sample(nodes, _count(fault, len(nodes))))
         elif fault.trouble not in ON_TRAFFIC:
             names = [e.name for e in engines if (not fault.kinds or e.kind in fault.kinds)
-                     and (not fault.zone or e.zone == fault.zone)]
+                     and (not fault.zone or e.zone == fault.zone) and fault.rack in (None, e.rack)]
             strike.engines = sorted(chance.sample(names, _count(fault, len(names))))
         strikes.append(strike)
     return strikes
@@ -145,12 +145,15 @@
     marked = t.effect == "tokened" or day.traffic.marked > 0 and chance.random() < day.traffic.marked
     stranger = day.traffic.strangers > 0 and chance.random() < day.traffic.strangers
     leaves = chance.random() < (leaving[0].share if leaving else day.traffic.leaves)
+    # Without returns no chance is drawn for them, so that older days stay as they were.
+    away = chance.uniform(0.1, 1.0) if day.traffic.returns and chance.random() < day.traffic.returns else 0.0
     backoff = chance.uniform(*day.traffic.backoff_ms) / 1000
     return Op(number, at, chance.choice(day.zones), name, t.effect, session, system, messages,
               _between(chance, t.output_tokens), round((t.latency_slo_ms + t.slo_ms_per_1000_tokens * thousands) * 1000),
               round(abandon * 1000), day.traffic.tries, chance.random() < t.streamed, chance.random(),
               chance.uniform(0.02, 0.3) if leaves else 0.0, backoff, "" if stranger else customer,
-              "" if stranger else f"{customer}-key-1", f"op-{number}" if marked else "")
+              "" if stranger else f"{customer}-key-1", f"op-{number}" if marked else "",
+              0.0 if leaves or stranger else away)
 
 
 def _between(chance: Random, span: list[float]) -> int:
--- a/aniserudder/rehearsal/report.py
+++ b/aniserudder/rehearsal/report.py
@@ -6,6 +6,7 @@
 
 from .audit import RULES, Record, Verdict
 from .bills import Agreement
+from .streams import Account, Streams
 
 SHOWN = 12  # findings that are printed
 
@@ -84,3 +85,32 @@
     harmed = not with_flood or sum(with_flood) / len(with_flood) < 0.95 * sum(without) / max(1, len(without))
     return (f"admission: known clients {sum(with_flood)} of {len(with_flood)} within SLO (without flood {sum(without)} of "
             f"{len(without)}); rules: {kept} kept, {len(verdict.broken)} broken"), harmed
+
+
+def show_streams(kept: Account, without: Account, verdict: Verdict, console: Console) -> bool:
+    """Both days side by side, and a last line ``streams: X of Y completed (without: Z), ...``. True: it is not as it should be."""
+    table = Table(title="streams that lost a writer, with continuation and without", title_justify="left")
+    for name in ("type", "started", "completed", "without", "lost a writer", "of these completed", "without", "pause: median ms",
+                 "99th", "extra read"):
+        table.add_column(name, justify="left" if name == "type" else "right")
+    def row(name: str, a: Streams, b: Streams) -> None:
+        extra = f"{a.extra} ({100 * a.extra / max(1, a.read):.1f} %)"
+        table.add_row(name, str(a.started), f"{a.completed} ({_part(a.completed, a.started)})",
+                      f"{b.completed} ({_part(b.completed, b.started)})", str(a.hit), f"{a.saved} ({_part(a.saved, a.hit)})",
+                      f"{b.saved} ({_part(b.saved, b.hit)})", f"{a.pause(0.5):.0f}", f"{a.pause(0.99):.0f}", extra)
+    for name in sorted(kept.types):
+        row(name, kept.types[name], without.types.get(name, Streams()))
+    whole, plain = kept.all, without.all
+    row("all", whole, plain)
+    console.print(table)
+    console.print(f"arrivals within 3 s of a writer's death: {100 * kept.share_after:.1f} % of {kept.after_asked} within SLO, "
+                  f"{100 * without.share_after:.1f} % of {without.after_asked} without continuation; "
+                  f"{kept.moved} streams moved, {kept.returned} clients came back", highlight=False, soft_wrap=True)
+    broken = len(verdict.broken)
+    print(f"streams: {whole.completed} of {whole.started} completed (without: {plain.completed}), {whole.missing} missing, "
+          f"{whole.doubled} doubled tokens; rules: {len(RULES) - broken} kept, {broken} broken")
+    return bool(whole.missing or whole.doubled or not whole.hit or whole.saved * max(1, plain.hit) <= plain.saved * whole.hit)
+
+
+def _part(some: int, of: int) -> str:
+    return f"{100 * some / of:.0f} %" if of else "-"
--- a/aniserudder/rehearsal/stage.py
+++ b/aniserudder/rehearsal/stage.py
@@ -146,7 +146,7 @@
             "rules": {"answer_margin_ms": rules.answer_margin_ms, "let_go_ms": rules.let_go_ms,
                       "cold_share": rules.cold_share, "cold_ms": rules.cold_ms, "fall_multiple": rules.fall_multiple},
             "limits": {"max_attempts": day.max_attempts},
-            "admission": day.admission.model_dump()}
+            "admission": day.admission.model_dump(), "streams": day.streams.model_dump()}
         if day.ledger:
             form["tenants"] = {n: t.model_dump() for n, t in day.tenants.items()}
             form["ledger"] = {"path": str(self.folder / f"{seat.name}.ledger"), "service": f"127.0.0.1:{self.ledger_port}"}
@@ -302,6 +302,8 @@
                     engine.pause(fault.seconds)
             case "hang":
                 self._while(engines, fault.seconds, "stall", True)
+            case "trickle":
+                self._while(engines, fault.seconds, "trickle", fault.size)
             case "slow":
                 self._while(engines, fault.seconds, "slow", fault.size)
             case "answer_lost":
--- a/aniserudder/standins/client.py
+++ b/aniserudder/standins/client.py
@@ -5,11 +5,13 @@
 """
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
+from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IDelayedCall, IReactorTCP
 from twisted.internet.protocol import Factory
@@ -20,6 +22,8 @@
 from .words import in_order, reference
 
 AWAY = 1.0     # seconds that a node is left out once the front layer has noticed that it is dead
+BACK = 0.2     # seconds that a client needs to come back
+RETURN_MS = 2000
 LINGER = 0.25  # seconds that a client watches its connection after the final answer
 _encode, _decode = msgspec.json.Encoder().encode, msgspec.json.Decoder(dict[str, Any]).decode
 
@@ -46,6 +50,7 @@
     customer: str = "members"
     customer_key: str = ""
     key: str = ""                    # marks repeats of a tokened operation
+    away_after_s: float = 0.0        # loses its connection so long after the first piece of text, and comes back
 
 
 @dataclass(slots=True)
@@ -109,6 +114,10 @@
     give_up: IDelayedCall | None = None
     leave: IDelayedCall | None = None
     after: bool = False              # something came after the final answer
+    last_id: str = ""
+    heard: float = 0.0               # when the last piece of text came
+    gap: float = 0.0                 # longest time between two of them
+    back: bool = False
 
     @property
     def ref(self) -> str:
@@ -123,8 +132,12 @@
 
     def head(self, status: int) -> None:
         self.status = status
+        if self.back and status != 200:
+            self._over("lost")  # it was told that it might come back
 
     def body(self, data: bytes) -> None:
+        if self.over and not self.final:
+            return
         if self.final:
             return self._extra(len(data))
         if self.status != 200 or not self.op.streamed:
@@ -133,7 +146,9 @@
         lines = (self.rest + data).split(b"\n")
         self.rest = lines.pop()
         for line in lines:
-            if line.startswith(b"event:"):
+            if line.startswith(b"id:"):
+                self.last_id = line[3:].strip().decode()
+            elif line.startswith(b"event:"):
                 self.event = line[6:].strip().decode()
             elif line.startswith(b"data:"):
                 if self.final:
@@ -142,7 +157,7 @@
                     self._said(_decode(line[5:]))
 
     def complete(self) -> None:
-        if self.final:
+        if self.final or self.over:
             return
         if self.status == 200 and not self.op.streamed:
             self._whole()
@@ -160,8 +175,12 @@
     def _said(self, body: dict[str, Any]) -> None:
         words = self.clients.words
         if self.event == words[Event.TEXT]:
+            now = self.clients.reactor.seconds()
             if not self.text:
                 self._first()
+            else:
+                self.gap = max(self.gap, now - self.heard)
+            self.heard = now
             self.text.append(body["delta"]["text"])
         elif self.event == words[Event.GENERATED]:
             self._answered("generated")
@@ -174,6 +193,8 @@
             self.give_up.cancel()
         if self.op.leave_after_s:
             self.leave = self.clients.reactor.callLater(self.op.leave_after_s, self._leave)
+        elif self.op.away_after_s and self.op.streamed and not self.back:
+            self.leave = self.clients.reactor.callLater(self.op.away_after_s, self._away)
 
     def _whole(self) -> None:
         body = _decode(self.collected)
@@ -193,8 +214,10 @@
         text, op = "".join(self.text), self.op
         wanted = list(reference(self.ref, self.asks_for, op.max_tokens))
         due = "".join(wanted if kind == "generated" else wanted[:len(text.split())])
+        had, all_due = Counter(text.split()), Counter(due.split())
         self.clients.witness.note("answered", ref=self.ref, kind=kind, status=self.status, in_order=in_order(text),
-                                  words=len(text.split()), alike=text == due, of=len(wanted),
+                                  words=len(text.split()), alike=text == due, missing=(all_due - had).total(),
+                                  doubled=(had - all_due).total(), gap_us=round(self.gap * 1e6),
                                   come_back_us=round(come_back_ms * 1000))
         self._finish()
         self.clients.reactor.callLater(LINGER, self._close)
@@ -219,6 +242,14 @@
             self._close()
             self.clients.next_try(self, "left", 0)
 
+    def _away(self) -> None:
+        """Its connection is lost; a little later it asks for what it lacks."""
+        if not self.over and self.last_id:
+            self.clients.witness.note("away", ref=self.ref)
+            self.back = True
+            self._close()
+            self.clients.reactor.callLater(BACK, self.clients.come_back, self)
+
     def _gave_up(self) -> None:
         """Its time is up and nothing has come."""
         if not self.over:
@@ -270,11 +301,26 @@
     def _try(self, op: Op, number: int) -> None:
         seat = self.front.choose(op.zone, op.node_draw, number)
         one = Try(self, op, number, seat)
+        self._connect(one).addCallbacks(lambda c: self._connected(one, c), lambda failure: self._unreachable(one))
+
+    def come_back(self, one: Try) -> None:
+        """A client whose connection was lost asks the same node for the events that it lacks."""
+        one.rest, one.event, one.status = b"", "", 0
+
+        def connected(connection: _Watched) -> None:
+            one.connection, connection.unasked = connection, one._extra
+            self.witness.note("back", ref=one.ref)
+            headers = [("x-api-key", one.op.customer_key), ("last-event-id", one.last_id)]
+            stream = one.last_id.rpartition(".")[0]
+            if not connection.ask("GET", f"/v1/messages/{stream}", headers, b"", one):
+                one._over("lost")
+        self._connect(one).addCallbacks(connected, lambda failure: one._over("lost"))
+
+    def _connect(self, one: Try) -> Deferred[_Watched]:
+        seat = one.seat
         factory = Factory.forProtocol(lambda: _Watched(f"{seat.host}:{seat.port}", lambda c: None, lambda c: None))
         factory.noisy = False
-        endpoint = TCP4ClientEndpoint(self.reactor, seat.host, seat.port, timeout=0.5)
-        endpoint.connect(factory).addCallbacks(lambda c: self._connected(one, c),
-                                               lambda failure: self._unreachable(one))
+        return TCP4ClientEndpoint(self.reactor, seat.host, seat.port, timeout=0.5).connect(factory)
 
     def _unreachable(self, one: Try) -> None:
         self.front.failed(one.seat)
@@ -293,6 +339,8 @@
             headers.append(("x-api-key", op.customer_key))
         if op.key:
             headers.append(("idempotency-key", op.key))
+        if op.away_after_s:
+            headers.append(("x-return-within-ms", str(RETURN_MS)))
         self.witness.note("asked", ref=one.ref, op=op.number, node=one.seat.name, type=op.type, effect=op.effect,
                           abandon_us=op.abandon_us, slo_us=op.slo_us, streamed=op.streamed, key=op.key,
                           customer=op.customer)
--- a/aniserudder/standins/engine.py
+++ b/aniserudder/standins/engine.py
@@ -241,7 +241,7 @@
         held_back = getattr(exchange.connection, "thawed_at", -1.0)
         self.witness.note("attempt", engine=self.spec.name, ref=work.ref, node=work.node, reads=work.reads,
                           local=not work.reads and work.state is None, model=work.model, tokens=work.prompt,
-                          held_back=held_back > self.reactor.seconds() - 0.05)
+                          forced=len(work.forced.split()), held_back=held_back > self.reactor.seconds() - 0.05)
         self._use(work, "running")
         self._pushed(work)
         if self.down:
--- a/aniserudder/streams/pace.py
+++ b/aniserudder/streams/pace.py
@@ -8,12 +8,14 @@
 HALF = 2_000_000        # microseconds: what was seen of an engine's pace loses half its weight in this time
 GAPS = 4                # a stream's own pace: mean over its last gaps, the one that is open with them
 LEAST_SEEN = 8.0        # gaps, by weight, that make an engine's pace known
+SUDDEN = 1.5            # times the limit that an open gap has to be when it is judged alone
 PEERS = 2               # other engines whose pace has to be known
 
 
 @dataclass(slots=True, frozen=True)
 class PaceRules:
-    """When a stream trickles: its mean gap is ``times`` the median of its peers', and at least ``least`` microseconds."""
+    """When a stream trickles: its mean gap is ``times`` the median of its peers', and at least ``least`` microseconds; or its
+    open gap alone is that and half as much again, as after a sudden stop."""
     times: float = 8.0
     least: int = 700_000
 
@@ -75,7 +77,7 @@
 
     def trickles(self, stream: Running, now: int) -> bool:
         """Whether it is to be moved."""
-        gap = stream.gap(now)
+        gap = max(stream.gap(now), (now - stream.times[-1]) / SUDDEN)
         if gap < self.rules.least:
             return False
         peers = []
