Turns for broken streams follow what readers have free; many nodes rank without talking

Part of the arrivals' own reading was no measure of what readers can bear, and of many nodes each took its first turn at once.

The rate is a part of what readers have free, told from their number, an idle one's pace and the arrivals' tokens. A node of many reckons from its own arrivals how many denser streams a dead writer's nodes have and lets those go first; a stream that was lost alone (its writer answers) does not wait.

--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -329,6 +329,38 @@
     console.print(queue)
 
 
+@measure.command("streams")
+@click.option("--seeds", default=3, show_default=True, type=click.IntRange(1, 100), help="Days of each case, by policy.")
+@click.option("--plot", "picture", type=click.Path(dir_okay=False), help="Also write a PNG there.")
+def measure_streams(seeds: int, picture: str | None) -> None:
+    """Who is read again when after a writer's death, by policy (simulated time); and journals against plain ones."""
+    from rich.console import Console
+    from rich.table import Table
+
+    from ..measure import journals, recovery
+    console = Console(width=170)
+    kept = Table(title="a stream's events", title_justify="left")
+    for name in ("kept as", "bytes an event", "to keep one: us", "to give back a tenth of 1,000: us"):
+        kept.add_column(name, justify="left" if name == "kept as" else "right")
+    for row in journals.rows():
+        kept.add_row(row.way, f"{row.bytes_an_event:.1f}", f"{row.keep_us:.2f}", f"{row.tail_us:.1f}")
+    console.print(kept)
+    found = recovery.table(list(range(1, seeds + 1)))
+    shown = Table(title="a writer dies with its streams (simulated time, real routers)", title_justify="left")
+    for name in ("case", "policy", "lost", "saved", "% of utility", "pause: median s", "99th", "given up after s",
+                 "new arrivals in SLO %", "read again"):
+        shown.add_column(name, justify="left" if name in ("case", "policy") else "right")
+    for row in found:
+        for one in row:
+            shown.add_row(one.case if one is row[0] else "", one.policy, str(one.lost), str(one.saved), f"{100 * one.utility:.0f}",
+                          f"{one.pause(0.5):.2f}", f"{one.pause(0.99):.2f}", f"{one.waited:.2f}", f"{100 * one.in_slo:.1f}",
+                          str(one.extra))
+        shown.add_section()
+    console.print(shown)
+    if picture:
+        recovery.plot(found, picture)
+
+
 @main.group()
 def standin() -> None:
     """Run a stand-in engine or roster server by itself."""
--- a/aniserudder/core/router.py
+++ b/aniserudder/core/router.py
@@ -13,14 +13,13 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from random import Random
 from typing import Any
 
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from ..decisions.interface import (Change, EngineChange, Outcome, Report, Role, RosterRow, SequenceChange, Settings,
                                    Standing, State)
-from ..decisions.rules import Node
+from ..decisions.rules import FIRST_READ_PACE, Node
 from ..streams.journal import Journal
 from ..streams.pace import PaceRules, Paces, Running
 from ..streams.recovery import Broken, Recovery, RecoveryRules
@@ -31,6 +30,7 @@
 
 FINAL = frozenset({State.GENERATED, State.REJECTED, State.ABORTED, State.LEFT, State.CLEARED})
 NOTHING = Usage()
+NO_SLO = (0, 0, 0.0, 0)  # latency SLO, what it grows by for 1000 tokens, utility, token pace
 LOOK_EVERY = 250_000  # microseconds between looks at which streams trickle
 
 
@@ -163,7 +163,7 @@
         self.streams = streams
         self.pauses: list[int] = []  # microseconds, of the last streams that went on
         if streams:
-            self.recovery = Recovery(streams.recovery, Random(f"{seed} recovery").random, self.now(), settings.nodes)
+            self.recovery = Recovery(streams.recovery, self.now(), settings.nodes)
             self.paces = Paces(streams.pace)
         self._turn: IDelayedCall | None = None
         self._look: IDelayedCall | None = None
@@ -184,7 +184,7 @@
             flight = self.flights[id] = Flight(id, request, answer, now + request.prompt.time_left, came=now)
             if self.streams:
                 flight.journal = journal if journal is not None else Journal(id)
-                self.recovery.arrived(now, request.prompt.tokens)
+                self.recovery.arrived(now, request.prompt.tokens, self.slos.get(request.prompt.traffic_type, NO_SLO)[2])
             self.counts.taken += 1
             flight.timer = self._later(request.prompt.time_left, lambda: self._time_up(flight))
             self._call(ArrivedCall(now, id, request.prompt), flight)
@@ -307,6 +307,10 @@
         if outcome is Outcome.READ:
             flight.held = Held(attempt.engine, attempt.ordinal, state)
             flight.read.append(flight.held)
+            if attempt.request.forced:
+                self.recovery.told(attempt.request.prompt.tokens, usage.read - usage.kept)
+            elif self.streams:
+                self.recovery.read(usage.read, usage.read - usage.kept)
         elif outcome is Outcome.NO_STATE:
             flight.held = None
         if outcome is Outcome.GENERATED:
@@ -347,7 +351,7 @@
 
     # Streams that go on.
 
-    def _broke(self, flight: Flight) -> None:
+    def _broke(self, flight: Flight, engine: str) -> None:
         """The node says that it may go on: it waits for its turn, as long as its client waits."""
         now = self.now()
         if not flight.broke_at:
@@ -363,7 +367,7 @@
             if journal.pieces >= flight.request.prompt.max_output + flight.request.forced_tokens:
                 return self._complete(flight)
         prompt = flight.request.prompt
-        slo, stretch, utility, _ = self.slos.get(prompt.traffic_type, (0, 0, 0.0, 0))
+        slo, stretch, utility, _ = self.slos.get(prompt.traffic_type, NO_SLO)
         cost = prompt.tokens + flight.journal.pieces - flight.request.forced_tokens
         one = Broken(flight, cost, utility, flight.waits_until, flight.broke_at)
         if flight.turned:
@@ -371,11 +375,25 @@
         else:
             writers = sum(e.listed and e.role is not Role.READER for e in self.node.engines.values())
             running = sum(f.out is not None and f.out.started for f in self.flights.values())
-            over = self.recovery.broke(now, one, (running + 1) / max(1, writers))
+            over = self.recovery.broke(now, one, self._capacity(), (running + 1) / max(1, writers))
             if over:
                 self._no_turn(over.key)
+            if self.recovery.nodes > 1 and engine:
+                self.engines.probe(engine, lambda good, values: good and self.tell(lambda: self._alone(flight)))
         self._plan_turn()
 
+    def _alone(self, flight: Flight) -> None:
+        """Its writer answers: other nodes' streams there run on."""
+        if flight.state is State.BROKEN:
+            self.recovery.alone(self.now(), flight)
+            self._plan_turn()
+
+    def _capacity(self) -> float:
+        """Tokens a second that all readers together can read; without readers, all that read."""
+        roles = [e.role for e in self.node.engines.values() if e.listed]
+        role = Role.READER if Role.READER in roles else Role.MIXED if Role.MIXED in roles else Role.WRITER
+        return roles.count(role) * 1_000_000 / max(0.1, self.node.read_pace.get(role, FIRST_READ_PACE))
+
     def _complete(self, flight: Flight) -> None:
         """All that may be written was written; only the writer's last word was lost."""
         flight.broke_at = 0
@@ -391,6 +409,7 @@
         self._turn = self._later(at - self.now(), lambda: self.tell(self._turns)) if at else None
 
     def _turns(self) -> None:
+        self.recovery.capacity = self._capacity()
         turns, given_up = self.recovery.due(self.now())
         for one in given_up:
             self._no_turn(one.key)
@@ -409,7 +428,7 @@
         now, journal, asked = self.now(), flight.journal, flight.request
         before, prompt = asked.forced_tokens, asked.prompt
         fresh = journal.pieces - before
-        pace = self.slos.get(prompt.traffic_type, (0, 0, 0.0, 0))[3]
+        pace = self.slos.get(prompt.traffic_type, NO_SLO)[3]
         prompt = replace(prompt, tokens=prompt.tokens + fresh, max_output=max(1, prompt.max_output - fresh),
                          hint=max(pace, prompt.hint - fresh * pace) if prompt.hint else 0,
                          time_left=max(1, flight.waits_until - now))
@@ -428,7 +447,7 @@
     def _fared(self, flight: Flight, took: int) -> None:
         """How a new sequence fared: the extra reading has to leave room for its like."""
         if self.streams:
-            slo, stretch, _, _ = self.slos.get(flight.request.prompt.traffic_type, (0, 0, 0.0, 0))
+            slo, stretch, _, _ = self.slos.get(flight.request.prompt.traffic_type, NO_SLO)
             slo += stretch * flight.request.prompt.tokens // 1000
             if slo:
                 self.recovery.fared(self.now(), took / slo)
@@ -482,7 +501,7 @@
             case State.READING | State.WRITING:
                 self._send(flight, change)
             case State.BROKEN:
-                self._broke(flight)
+                self._broke(flight, change.engine)
             case State.GENERATED:
                 self._finish(flight, lambda a: a.generated(flight.stop_reason, flight.usage))
             case State.REJECTED:
--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -173,7 +173,7 @@
 
 def stream_rules(streams: Streams) -> StreamRules:
     """What the router is told of the settings of streams."""
-    recovery = RecoveryRules(order=Order(streams.order), part=streams.extra_reading, least_per_s=streams.least_extra_per_s)
+    recovery = RecoveryRules(order=Order(streams.order), part=streams.extra_reading, least=streams.least_extra)
     return StreamRules(micros(streams.pause_ms), recovery, PaceRules(streams.trickle_times, micros(streams.trickle_ms)))
 
 
--- a/aniserudder/settings/schema.py
+++ b/aniserudder/settings/schema.py
@@ -101,10 +101,10 @@
     return_ms: Millis = Field(3_000, description="longest wait for a client that said it would return; 0: none may")
     order: Literal["at once", "fifo", "deadline", "density", "save most"] = Field(
         "save most", description="whose turn it is after many streams broke")
-    extra_reading: Annotated[float, Field(ge=0, le=4)] = Field(
-        0.25, description="reading for broken streams, as a part of what new sequences read")
-    least_extra_per_s: Annotated[float, Field(gt=0)] = Field(
-        20_000, description="tokens a second that all nodes together may read again in any case")
+    extra_reading: Annotated[float, Field(ge=0, le=1)] = Field(
+        0.7, description="reading for broken streams, as a part of what readers have free")
+    least_extra: Annotated[float, Field(ge=0, le=1)] = Field(
+        0.05, description="and as a part of what they can read, never less than this")
     trickle_times: Annotated[float, Field(ge=2)] = Field(8, description="a stream so many times slower than its peers' is moved")
     trickle_ms: Annotated[float, Field(ge=50)] = Field(700, description="and not before its tokens are so far apart")
     slow_bytes_per_s: Annotated[int, Field(ge=0)] = Field(200, description="least rate of a client for which something waits")
