Tokens that nothing holds up go straight to the client; audit knows clients away at a stop

At 160 sequences a second the way of a token had become longer, and a client that was away when its node stopped was counted as lost.

The ordinary token is written from the piece itself, paces fade in steps. The audit exempts a client that had gone by itself and came back to a node that was stopping.

--- a/aniserudder/messages/stream.py
+++ b/aniserudder/messages/stream.py
@@ -65,7 +65,14 @@
         if self.state is Reading.UNOPENED:
             self._open()
         if self.state is Reading.ATTACHED:
-            self._pump()
+            number = OPENING + self.journal.pieces
+            if self.cursor == number - 1 and self.exchange.roomy:  # the ordinary case: nothing waits
+                self.cursor = number
+                data = self.codec.text(piece, number)
+                self._handed += len(data)
+                self.exchange.write(data)
+            else:
+                self._pump(piece)
         elif self.state is Reading.BLOCKED:
             self._hold()
 
@@ -110,11 +117,14 @@
         self.exchange.begin(200, [("x-sequence-id", self.journal.id)])
         self._change(Reading.ATTACHED)
 
-    def _pump(self) -> None:
-        """Hands on what the connection takes."""
-        exchange, newest = self.exchange, numbers(self.journal)
+    def _pump(self, newest_piece: str = "") -> None:
+        """Hands on what the connection takes. The newest piece is at hand also where the node's cap took the journal's text."""
+        exchange, journal, newest = self.exchange, self.journal, numbers(self.journal)
         while self.cursor < newest and exchange.roomy:
-            data = self._events()
+            next_text = self.cursor + 1 - OPENING
+            if not journal.whole and 0 < next_text < journal.pieces + (not newest_piece):
+                return self._too_slow("the node has no room for the text that waits for its client")
+            data = self._events(newest_piece)
             self._handed += len(data)
             exchange.write(data)
         if self.cursor < newest:
@@ -123,7 +133,7 @@
             self._change(Reading.OVER)
             exchange.end()
 
-    def _events(self) -> bytes:
+    def _events(self, newest_piece: str) -> bytes:
         """The next event, or the opening ones together."""
         journal, writer, at = self.journal, self.codec, self.cursor + 1
         if at <= OPENING:
@@ -132,7 +142,7 @@
         self.cursor = at
         piece = at - OPENING
         if piece <= journal.pieces:
-            return writer.text(journal.text(piece - 1, piece) if journal.whole else "", at)
+            return writer.text(journal.text(piece - 1, piece) if journal.whole else newest_piece, at)
         final = journal.final
         if final.kind == "generated":
             return writer.ending(piece - journal.pieces, final.reason, Usage(final.read, final.kept, final.written), at)
@@ -174,8 +184,7 @@
         exchange, running = self.exchange, self.journal.final is None
         self.journal.end(Final("aborted", reason))
         self._change(Reading.OVER)
-        if running:
-            exchange.write(self.codec.failed("aborted", reason, 0, self.cursor))
+        exchange.write(self.codec.failed("aborted", reason, 0, self.cursor))  # whatever its end was: it did not get that far
         exchange.gone = None
         exchange.end()
         exchange.close_soon()
--- a/aniserudder/rehearsal/audit.py
+++ b/aniserudder/rehearsal/audit.py
@@ -87,6 +87,7 @@
     effects: int = 0
     repeats: int = 0
     back: int = 0     # times that its client came back
+    away: int = -1    # when its client last lost its connection
 
 
 class Record:
@@ -136,6 +137,8 @@
                         one.end, one.result, one.read = at, line["result"], line.get("read", 0)
                 case "back":
                     self.tries[line["ref"]].back += 1
+                case "away":
+                    self.tries[line["ref"]].away = at
                 case "effect" | "repeat":
                     self.effects.append(line)
                     known = self.tries.get(line["ref"])
@@ -212,6 +215,10 @@
             before = what
         return before == "node_killed"
 
+    def stopping(self, node: str, since: int) -> int:
+        """When the node began to stop that ran at that time; 0: it did not."""
+        return next((at for at, what in self.lives[node] if what == "node_stopping" and at >= since), 0)
+
     def life(self, node: str, at: int) -> int:
         """When the life of the node began that ran at that time."""
         return max((t for t, what in self.lives[node] if what == "node_started" and t <= at), default=0)
@@ -270,7 +277,9 @@
             if lost and record.flooded(node, at) and not one.attempts and one.first < 0 and not one.asked["customer"]:
                 exempt += 1  # a stranger that was turned away at the door of a flooded node: it was never taken
                 continue
-            if lost and not record.died(node, at):
+            if lost and one.away >= 0 and record.stopping(node, at) and lost[0]["at"] >= record.stopping(node, at):
+                exempt += 1  # it had gone by itself, and came back to a node that takes nobody in any more
+            elif lost and not record.died(node, at):
                 broke("the connection ended without a final answer", lost[0]["at"])
             elif not lost and not [e for e in gone if e["what"] == "left"] and not record.died(node, at):
                 broke("no final answer", gone[0]["at"] if gone else at)
--- a/aniserudder/streams/journal.py
+++ b/aniserudder/streams/journal.py
@@ -71,13 +71,13 @@
         """Keeps a piece that goes out now; its event's number."""
         if self.final is not None:
             raise ValueError(f"{self.id}: text after its final event")
-        data = piece.encode("utf-8", "surrogatepass")
-        self._ends.append(self.length + len(data))
+        data, ends = piece.encode("utf-8", "surrogatepass"), self._ends
+        ends.append(len(data) + (ends[-1] if ends else 0))
         if self.whole:
             self._text += data
         if self._shelf:
             self._shelf.grew(self, 8 + len(data) * self.whole)
-        return len(self._ends)
+        return len(ends)
 
     def end(self, final: Final) -> None:
         """The stream's one final event."""
@@ -175,6 +175,8 @@
         if self._all.get(journal.id) is not journal:
             return
         self.used += count
+        if self.used <= self.most:
+            return
         self._trim()
         while self.used > self.most:
             if not journal.whole or not journal.length:  # what it holds is not enough: the longest of all makes room
--- a/aniserudder/streams/pace.py
+++ b/aniserudder/streams/pace.py
@@ -6,6 +6,7 @@
 from statistics import median
 
 HALF = 2_000_000        # microseconds: what was seen of an engine's pace loses half its weight in this time
+FADE_EVERY = 100_000    # and is reckoned down no more often than this
 GAPS = 4                # a stream's own pace: mean over its last gaps, the one that is open with them
 LEAST_SEEN = 8.0        # gaps, by weight, that make an engine's pace known
 SUDDEN = 1.5            # times the limit that an open gap has to be when it is judged alone
@@ -63,13 +64,17 @@
 
     def token(self, stream: Running, now: int) -> None:
         """Its next one."""
-        pace = self._engines.setdefault(stream.engine, _Pace(at=now))
-        pace.fade(now)
+        pace = self._engines.get(stream.engine)
+        if pace is None:
+            pace = self._engines[stream.engine] = _Pace(at=now)
+        if now - pace.at > FADE_EVERY:
+            pace.fade(now)
+        times = stream.times
         pace.gaps += 1
-        pace.length += now - stream.times[-1]
-        stream.times.append(now)
-        if len(stream.times) > GAPS:
-            del stream.times[0]
+        pace.length += now - times[-1]
+        times.append(now)
+        if len(times) > GAPS:
+            del times[0]
 
     def held(self, stream: Running, now: int) -> None:
         """It was held back or released by us: what came before tells nothing of its writer."""
--- a/tests/test_stream_sockets.py
+++ b/tests/test_stream_sockets.py
@@ -246,6 +246,24 @@
     assert last == "error" and whole().startswith(text)
 
 
+def test_a_node_without_room_for_journals_still_streams_to_clients_that_read():
+    async def scene():
+        s = await streams("reader", "writer", "writer", step=5, more="streams: {journal_bytes: 65536}").up()
+        s.node.messages.shelf.most = 1500
+        views = [await ask(s, MINE, ref=f"v{n}", max_tokens=60) for n in range(6)]
+        await until(lambda: all(v.over for v in views))
+        given_up = s.node.messages.shelf.given_up
+        broken = await ask(s, MINE, ref="b", max_tokens=2000)
+        await until(lambda: len(broken.text().split()) > 120 or broken.over)
+        running(s).kill()
+        await until(lambda: broken.over)
+        await s.close()
+        return [v.text() for v in views], given_up, broken.events()[-1], broken.text()
+    texts, given_up, last, text = on_loop(scene)
+    assert texts == [whole(f"v{n}", 60) for n in range(6)] and given_up >= 3
+    assert last == "error" and whole("b", 2000).startswith(text)
+
+
 class Deaf(Protocol):
     """A client that takes one byte at a time, or nothing."""
 
