--- a/aniserudder/rehearsal/plan.py
+++ b/aniserudder/rehearsal/plan.py
@@ -153,7 +153,7 @@
               round(abandon * 1000), day.traffic.tries, chance.random() < t.streamed, chance.random(),
               chance.uniform(0.02, 0.3) if leaves else 0.0, backoff, "" if stranger else customer,
               "" if stranger else f"{customer}-key-1", f"op-{number}" if marked else "",
-              0.0 if leaves or stranger else away)
+              t.repeat_window_ms / 1000, away_after_s=0.0 if leaves or stranger else away)
 
 
 def _between(chance: Random, span: list[float]) -> int:
--- a/aniserudder/standins/client.py
+++ b/aniserudder/standins/client.py
@@ -50,6 +50,8 @@
     customer: str = "members"
     customer_key: str = ""
     key: str = ""                    # marks repeats of a tokened operation
+    window_s: float = 0.0            # tokened: for so long repeats are dropped
+    asked_at: float = 0.0            # when its first try went out, on the reactor's clock
     away_after_s: float = 0.0        # loses its connection so long after the first piece of text, and comes back
 
 
@@ -293,6 +295,10 @@
         harmless = how in ("rejected", "unreachable")  # over budget is not: it would be refused again
         # A once-only operation is tried again only when it is known not to have run.
         again = harmless or how in ("aborted", "lost", "left") and op.effect != "once-only"
+        # A tokened one has to be through before engines forget its mark.
+        if op.effect == "tokened" and not harmless:
+            ends = self.reactor.seconds() + op.backoff_s + op.abandon_us / 1e6
+            again = again and ends < op.asked_at + op.window_s
         if not again or done.number + 1 >= op.tries or op.leave_after_s and how == "left" and op.effect == "tokened":
             self.open -= 1
             return
@@ -329,6 +335,7 @@
 
     def _connected(self, one: Try, connection: _Watched) -> None:
         op = one.op
+        op.asked_at = op.asked_at or self.reactor.seconds()
         one.connection, connection.unasked = connection, one._extra
         one.seat.dead_since = -1.0
         messages = [*op.messages[:-1], {"role": "user", "content": one.asks_for}]
--- a/tests/test_stream_sockets.py
+++ b/tests/test_stream_sockets.py
@@ -2,7 +2,7 @@
 import msgspec
 import pytest
 from hypothesis import given, settings as examples, strategies as st
-from twisted.internet import reactor
+from twisted.internet import reactor, task
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 
@@ -132,6 +132,20 @@
     assert text == whole() and events[-1] == "message_stop" and events.count("message_stop") == 1
 
 
+def test_a_writer_dies_within_a_character_of_half_an_event():
+    async def scene():
+        s = await streams("reader", "writer", "writer").up()
+        view = await ask(s)
+        await some(view, 3)
+        dying = running(s)
+        dying.running[0].exchange.write('data: {"choices":[{"index":0,"delta":{"content":"w4.湖'.encode()[:-1])
+        reactor.callLater(0, dying.kill)
+        await until(lambda: view.over)
+        await s.close()
+        return view.text(), view.events()[-1]
+    assert on_loop(scene) == (whole(), "message_stop")
+
+
 def test_a_continuation_costs_no_second_effect_and_once_only_none_at_all():
     async def scene():
         s = await streams("reader", "writer", "writer").up()
@@ -277,6 +291,12 @@
     def dataReceived(self, data):
         self.got += data
 
+    def sip(self):
+        try:
+            self.got += self.transport.getHandle().recv(1)
+        except BlockingIOError:
+            pass
+
 
 async def deaf(s, max_tokens):
     body = msgspec.json.encode({"model": "note", "max_tokens": max_tokens, "stream": True,
@@ -290,13 +310,17 @@
     return client
 
 
-def test_a_client_that_reads_nothing_is_ended_its_writer_held_and_others_go_on():
+@pytest.mark.parametrize("sips", [False, True], ids=["reads nothing", "reads a byte at a time"])
+def test_a_client_that_hardly_reads_is_ended_its_writer_held_and_others_go_on(sips):
     more = "streams: {slow_ms: 1200, hold_bytes: 2000, send_buffer_bytes: 4096}"
 
     async def scene():
         s = await streams("reader", "writer", more=more, step=1, max_attempts=5).up()
         s.engines[1].spec.step_ms = 1
         client = await deaf(s, 4000)
+        sip = task.LoopingCall(lambda: client.transport.connected and client.sip())
+        if sips:
+            sip.start(0.25)
         held = []
         inner = s.node.pool.hold
         s.node.pool.hold = lambda attempt, on: (held.append(on), inner(attempt, on))
@@ -307,6 +331,7 @@
         took = reactor.seconds() - began
         await until(lambda: s.node.messages.slow == 1, 10)
         await until(lambda: not s.node.router.flights)
+        sip.running and sip.stop()
         client.transport.resumeProducing()
         await until(lambda: b"event: error" in client.got or not client.transport.connected, 8)
         got = client.got
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -8,7 +8,7 @@
 
 from aniserudder.measure.budgets import Case, play
 from aniserudder.settings.schema import BudgetForm, TenantForm
-from aniserudder.tenants.billing import Price, Try, Work, bill, operations
+from aniserudder.tenants.billing import Price, Try, Work, bill, charge, operations
 from aniserudder.tenants.keeper import Keeper
 from aniserudder.tenants.periods import Period, Spent, end_of, start_of
 from aniserudder.tenants.shares import Grantor, Lease
@@ -268,3 +268,25 @@
     assert sum(line.whole()[2] for line in lines) == sum(w.written for w in counted)
     order.shuffle(tries)
     assert bill(tries, 0, 1 << 62, []) == lines
+
+
+def test_a_stream_that_went_on_is_charged_its_prompt_once_and_each_writers_part():
+    """The second writer begins behind four of the five tokens that the first wrote; a third wrote and lost its answer."""
+    works = [Work(0, "r1", True, False, read=90, kept=10, outcome="read"), Work(1, "w1", False, True, written=5),
+             Work(2, "r2", True, False, read=60, kept=44, outcome="read"), Work(3, "w3", False, True, written=3, behind=4),
+             Work(4, "w2", False, False, read=20, kept=84, written=6, outcome="generated", behind=4)]
+    one = Try("n", "s", "m", False, "t", "draft", 0, "generated", works={w.ordinal: w for w in works})
+    served, vain = charge(one)
+    assert [(w.ordinal, w.read, w.kept, w.written) for w in served] == [(0, 90, 10, 0), (1, 0, 0, 4), (4, 0, 0, 6)]
+    assert [(w.ordinal, w.read, w.kept, w.written) for w in vain] == [(1, 0, 0, 1), (2, 60, 44, 0), (3, 0, 0, 3), (4, 20, 84, 0)]
+
+
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 9), st.integers(0, 9), st.integers(0, 9)), max_size=7))
+def test_charging_neither_loses_nor_makes_tokens(drawn):
+    works = {n: Work(n, "e", reads, n % 2 == 0, read, 1, 0 if reads else written, "read" if reads else "", behind=behind)
+             for n, (reads, read, written, behind) in enumerate(drawn)}
+    one = Try("n", "s", "m", False, "t", "draft", 0, "generated", works=works)
+    served, vain = charge(one)
+    for name in ("read", "kept", "written"):
+        assert sum(getattr(w, name) for w in served + vain) == sum(getattr(w, name) for w in works.values())
+        assert all(getattr(w, name) >= 0 for w in served + vain)
