--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -120,7 +120,7 @@
 
     from ..rehearsal import audit as judge, report
     from ..rehearsal.bills import compare
-    from ..rehearsal.day import find, shipped
+    from ..rehearsal.day import LOOPBACK_NODES, LOOPBACK_SECONDS, find, shipped
     from ..rehearsal.plan import draw
     from ..rehearsal.stage import run
     if names:
@@ -133,6 +133,9 @@
     form = find(day)
     if resume:
         form = form.model_copy(update={"twin": "", "streams": form.streams.model_copy(update={"resume": resume})})
+    if sum(form.nodes.values()) > LOOPBACK_NODES or form.seconds > LOOPBACK_SECONDS:
+        fail(f"{day}: {sum(form.nodes.values())} nodes and {form.seconds:g} s, allowed on loopback: {LOOPBACK_NODES} and "
+             f"{LOOPBACK_SECONDS}; aniserudder lab run plays it in simulated time")
     plan = draw(form, seed)
     click.echo(f"{day}, seed {seed}: plan {plan.digest}, {len(plan.ops)} operations, {len(plan.strikes)} troubles, "
                f"{len(plan.nodes)} nodes, {len(plan.engines)} engines, {len(form.zones)} zones")
@@ -214,6 +217,57 @@
     sys.exit(1 if verdict.broken else 0)
 
 
+@main.group()
+def lab() -> None:
+    """Play days in simulated time: real nodes, stand-ins and clients on a simulated clock and network."""
+
+
+@lab.command("run")
+@click.argument("day")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--record", type=click.Path(dir_okay=False), help="Write what was seen at the sockets there.")
+@click.option("--replay/--no-replay", "records", default=None, help="Keep decision records and replay them; by default up to 8 nodes.")
+@click.option("--quiet", is_flag=True, help="No lines of progress.")
+def lab_run(day: str, seed: int, record: str | None, records: bool | None, quiet: bool) -> None:
+    """Play DAY (a shipped name or a YAML file) in simulated time and check the rules as a rehearsal does."""
+    import tempfile
+
+    from rich.console import Console
+
+    from ..lab.stage import run as play
+    from ..rehearsal import audit as judge, report
+    from ..rehearsal.day import find
+    from ..rehearsal.plan import draw
+    form = find(day)
+    missing = sorted({f.trouble for f in form.troubles} & {"flood", "ledger_crash"}) + ["ledger"] * form.ledger
+    if missing:
+        fail(f"{day}: {', '.join(missing)} cannot be played in simulated time: rehearse it")
+    plan = draw(form, seed)
+    click.echo(f"{day}, seed {seed}: plan {plan.digest}, {len(plan.ops)} operations, {len(plan.strikes)} troubles, "
+               f"{len(plan.nodes)} nodes, {len(plan.engines)} engines, {len(form.zones)} zones")
+    say = (lambda line: None) if quiet else (lambda line: click.echo(f"  {line}"))
+    with tempfile.TemporaryDirectory(prefix="lab-") as folder:
+        done = play(form, plan, seed, Path(folder), say, len(plan.nodes) <= 8 if records is None else records)
+    if record:
+        import msgspec
+        try:
+            Path(record).write_bytes(b"".join(msgspec.json.encode(line) + b"\n" for line in done.ran.lines))
+        except OSError as problem:
+            fail(f"{record}: {problem.strerror}")
+    if done.ran.trouble:
+        click.echo(f"the day failed: {done.ran.trouble}", err=True)
+    verdict = judge.audit(judge.Record(done.ran.lines))
+    report.show(verdict, Console(width=118))
+    if done.ran.replayed:
+        click.echo(f"decision records: {done.ran.replayed} calls replayed, "
+                   + (f"UNEQUAL: {done.ran.unequal}" if done.ran.unequal else "all decided alike"))
+    click.echo(report.last_line(verdict))
+    click.echo(f"{done.simulated:.0f} s simulated in {done.took:.1f} s, {done.events} events, {done.events / done.took:.0f} a second")
+    broken = len(verdict.broken)
+    click.echo(f"lab: rules {5 - broken} kept, {broken} broken; {verdict.sequences} sequences; {done.speed:.1f} x real time")
+    sys.exit(1 if broken or done.ran.trouble or done.ran.unequal else 0)
+
+
 @main.group()
 def measure() -> None:
     """Measure what the program costs, on this machine's loopback."""
--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import os
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -41,10 +42,11 @@
         reactor: for sockets and time.
         log: called as ``log(event, level=..., **fields)``; by default JSON lines on standard error.
         boot: names this start in sequence ids.
+        wall: seconds since 1970, on which engines' starts are told.
     """
 
     def __init__(self, settings: NodeSettings, reactor: IReactorTCP, log: Callable[..., None] | None = None,
-                 boot: str = "") -> None:
+                 boot: str = "", wall: Callable[[], float] = time.time) -> None:
         self.settings, self.reactor = settings, reactor
         self.log = log or logs.make(settings.node, settings.log_level)
         seed = settings.seed if settings.seed is not None else int.from_bytes(os.urandom(6), "big")
@@ -64,7 +66,7 @@
             self.books.engines = engines
         self.router = Router(settings.decisions_settings(), seed, engines, reactor, recorder, self.log, settings.node,
                              stream_rules(settings.streams))
-        self.follower = follow(self.router, self.pool.locate, settings.roster, reactor, self.log)
+        self.follower = follow(self.router, self.pool.locate, settings.roster, reactor, self.log, wall)
         self.messages = Messages(settings, self.router, reactor, self.log, boot, self.books,
                                  lambda: self.pool.open)
         self.pool.on_exhausted = self.messages.gate.exhausted
--- a/aniserudder/measure/recovery.py
+++ b/aniserudder/measure/recovery.py
@@ -17,7 +17,7 @@
 from ..decisions.interface import Availability, Effect, Outcome, Prompt, Role, RosterRow, Settings, TypeSettings
 from ..streams.journal import digest
 from ..streams.recovery import Order, RecoveryRules
-from .clock import HeapClock
+from ..lab.clock import HeapClock
 
 S = 1_000_000
 DEATH, AFTER = 40.0, 6.0            # seconds from the start; and after the death in which arrivals are counted
--- a/aniserudder/rehearsal/day.py
+++ b/aniserudder/rehearsal/day.py
@@ -12,7 +12,8 @@
 from ..settings import BadSettings, load, load_text
 from ..settings.schema import Admission, Name, Part, Streams, TenantForm, TrafficType
 
-Seconds = Annotated[float, Field(ge=0, le=600)]
+Seconds = Annotated[float, Field(ge=0, le=7200)]
+LOOPBACK_NODES, LOOPBACK_SECONDS = 24, 300  # more of either is for the laboratory
 Share = Annotated[float, Field(ge=0, le=1)]
 Span = Annotated[list[Annotated[float, Field(ge=0)]], Field(min_length=2, max_length=2)]
 
@@ -93,9 +94,9 @@
     """The whole form."""
     about: str
     like: str = Field("", description="a shipped day whose keys stand where this one gives none")
-    seconds: Annotated[float, Field(ge=2, le=300)] = 30
+    seconds: Annotated[float, Field(ge=2, le=7200)] = 30
     zones: Annotated[list[Name], Field(min_length=1)] = ["east", "west"]
-    nodes: dict[Name, Annotated[int, Field(ge=1, le=16)]]
+    nodes: dict[Name, Annotated[int, Field(ge=1, le=1000)]]
     rules: DayRules = DayRules()
     max_attempts: Annotated[int, Field(ge=1, le=16)] = 5
     event_names: dict[str, Name] = Field(default_factory=dict)
--- a/aniserudder/rehearsal/stage.py
+++ b/aniserudder/rehearsal/stage.py
@@ -105,7 +105,7 @@
         self._chance = Random(f"{seed} engines").random
         window = max((t.repeat_window_ms for t in day.types.values()), default=5000) / 1000
         marks = Repeats(window)
-        self.engines = {s.name: StandinEngine(reactor, s, self.witness, day.zones, self._chance, marks)
+        self.engines = {s.name: self.make_engine(reactor, s, self.witness, day.zones, self._chance, marks)
                         for s in plan.engines}
         rows = [Row(engine=s.name, address="127.0.0.1:1", kind=s.kind, zone=s.zone, rack=s.rack) for s in plan.engines]
         self.roster = StandinRoster(reactor, rows, self.witness,
@@ -120,6 +120,9 @@
         self.exits: dict[str, int] = {}
         self.trouble = ""
 
+    def make_engine(self, *args: object) -> StandinEngine:
+        return StandinEngine(*args)
+
     def play(self) -> Deferred[Ran]:
         """Runs the day to its end."""
         done: Deferred[Ran] = Deferred()
--- a/aniserudder/roster/follow.py
+++ b/aniserudder/roster/follow.py
@@ -33,12 +33,12 @@
     """
 
     def __init__(self, router: Router, locate: Callable[[str, str], None], source: RosterSource,
-                 reactor: IReactorTCP, log: Callable[..., None]) -> None:
+                 reactor: IReactorTCP, log: Callable[..., None], wall: Callable[[], float] = time.time) -> None:
         self.router, self.locate, self.source, self.reactor, self.log = router, locate, source, reactor, log
         self.rows: dict[str, Row] = {}
         self.epoch = 0
         self.heard_at = 0.0  # on the router's clock; 0: never
-        self._offset = reactor.seconds() - time.time()
+        self._offset = reactor.seconds() - wall()
         self._timer: IDelayedCall | None = None
         self._stopped = False
 
@@ -174,7 +174,7 @@
 
 
 def follow(router: Router, locate: Callable[[str, str], None], source: RosterSource, reactor: IReactorTCP,
-           log: Callable[..., None]) -> Follower:
+           log: Callable[..., None], wall: Callable[[], float] = time.time) -> Follower:
     """The follower that fits the settings."""
     kind = Streamed if source.server else Watched if source.file else Fixed
-    return kind(router, locate, source, reactor, log)
+    return kind(router, locate, source, reactor, log, wall)
--- a/aniserudder/standins/engine.py
+++ b/aniserudder/standins/engine.py
@@ -130,13 +130,16 @@
     Args:
         zones: it listens once for each, so that each can be cut off from it; the first is enough where none is cut.
         chance: a bound ``random`` of a seeded ``random.Random``, for answers that get lost.
+        wall: seconds since 1970.
         repeats: by repeat group, shared with the other engines of the group.
     """
 
     def __init__(self, reactor: IReactorTCP, spec: EngineSpec, witness: Witness, zones: list[str],
-                 chance: Callable[[], float], repeats: Repeats | None = None, port: int = 0) -> None:
+                 chance: Callable[[], float], repeats: Repeats | None = None, port: int = 0,
+                 listener: type[Listener] = Listener, wall: Callable[[], float] = time.time) -> None:
+        self.wall = wall
         self.reactor, self.spec, self.witness, self.chance, self.repeats = reactor, spec, witness, chance, repeats
-        self.listeners = {z: Listener(reactor, lambda e, z=z: self._asked(e, z), port=port if i == 0 else 0)
+        self.listeners = {z: listener(reactor, lambda e, z=z: self._asked(e, z), port=port if i == 0 else 0)
                           for i, z in enumerate(zones)}
         self.faults = Faults()
         self.down = False
@@ -180,7 +183,7 @@
     def start(self) -> None:
         """The process starts, empty and cold."""
         self.down, self.fell, self.faults = False, False, Faults()
-        self.started_at = time.time()
+        self.started_at = self.wall()
         self.witness.note("engine_up", engine=self.spec.name, rate=self.spec.rate, cold_share=self.spec.cold_share,
                           cold_us=round(self.spec.cold_ms * 1000), fall_multiple=self.spec.fall_multiple,
                           fall_us=round(self.spec.fall_ms * 1000))
@@ -212,7 +215,7 @@
         """The part of its capacity that it has at the moment."""
         if not self.started_at:
             return 1.0
-        age = (time.time() - self.started_at) * 1000 / self.spec.cold_ms
+        age = (self.wall() - self.started_at) * 1000 / self.spec.cold_ms
         return min(1.0, self.spec.cold_share + (1 - self.spec.cold_share) * age)
 
     def _speed(self) -> float:
