--- a/aniserudder/lab/stage.py
+++ b/aniserudder/lab/stage.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from ..daemon import RunningNode
+from ..decisions.rules import Node
 from ..rehearsal.day import Day, Fault
 from ..rehearsal.plan import Plan
 from ..rehearsal.stage import HOLDS_SETTLE, Ran, Stage
@@ -58,10 +59,12 @@
 
     Args:
         records: nodes keep decision records, which are replayed at the end.
+        policy: the decision node; another than the module's is for comparison, and keeps no record.
     """
 
-    def __init__(self, day: Day, plan: Plan, seed: int, folder: Path, say: Callable[[str], None], records: bool) -> None:
-        self.records = records
+    def __init__(self, day: Day, plan: Plan, seed: int, folder: Path, say: Callable[[str], None], records: bool,
+                 policy: type[Node] = Node) -> None:
+        self.records, self.policy = records and policy is Node, policy
         self.clock = HeapClock(1_000_000.0)
         self.network = Network(self.clock, lambda one, other: NEAR)
         self.world = self.network.process("world")
@@ -89,6 +92,9 @@
             settings = settings.model_copy(update={"record": "", "roster": settings.roster.model_copy(update={"last_list": ""})})
         node = RunningNode(settings, process, lambda event, **fields: None, f"{seat.name}x{len(self.nodes)}".replace("-", ""),
                            wall=self.clock.seconds)
+        if self.policy is not Node:
+            router = node.router
+            router.node = self.policy(router.node.settings, self.plan.seeds[seat.name])
         self.nodes[seat.name] = LabNode(process, node)
         process.callLater(START_S, node.start)
 
@@ -144,11 +150,11 @@
 
 
 def run(day: Day, plan: Plan, seed: int, folder: Path, say: Callable[[str], None],
-        records: bool = True) -> Played:
+        records: bool = True, policy: type[Node] = Node) -> Played:
     """Plays a day; as long as it takes."""
     began = time.perf_counter()
     folder.mkdir(parents=True, exist_ok=True)
-    stage = LabStage(day, plan, seed, folder, say, records)
+    stage = LabStage(day, plan, seed, folder, say, records, policy)
     ran: list[Ran] = []
     stage.play().addCallback(ran.append)
     start, events = stage.clock.seconds(), 0
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,15 +1,19 @@
 """The laboratory: its clock, its network, and days played with the real nodes in simulated time."""
+import msgspec
 import pytest
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionLost, ConnectionRefusedError, TimeoutError
 from twisted.internet.protocol import Factory, Protocol
 
 from aniserudder.lab.clock import HeapClock
+from aniserudder.lab.experiment import Result, Results, bootstrap, carry_out, differences, find_plan
 from aniserudder.lab.network import Network
+from aniserudder.lab.report import page
 from aniserudder.lab.stage import run
 from aniserudder.rehearsal.audit import Record, audit
 from aniserudder.rehearsal.day import find
 from aniserudder.rehearsal.plan import draw
+from aniserudder.settings import BadSettings
 
 
 class Ear(Protocol):
@@ -148,3 +152,73 @@
     monkeypatch.setattr(Node, "_repeats", lambda *_: True)
     monkeypatch.setattr(Node, "_may_send", lambda self, seq, engine: engine.listed)
     assert 2 in audit(Record(play("bad_engines", 1, tmp_path).ran.lines)).broken
+
+
+# Experiments.
+
+SMALL = """
+day: preempt
+policies: [module, random]
+seeds: 2
+factors: {traffic.per_s: [6], seconds: [9], troubles: [[{at: 2, trouble: preempt, kinds: [decode], seconds: 1}]]}
+"""
+
+
+def small(tmp_path, text=SMALL):
+    path = tmp_path / "plan.yaml"
+    path.write_text(text)
+    return find_plan(str(path))
+
+
+def test_a_plan_gives_the_same_figures_on_one_process_and_on_four(tmp_path):
+    plan = small(tmp_path)
+    one, four = Results(str(tmp_path / "one")), Results(str(tmp_path / "four"))
+    first = carry_out(plan, one, 1, lambda line: None)
+    second = carry_out(plan, four, 4, lambda line: None)
+    assert msgspec.json.encode(first) == msgspec.json.encode(second) and len(first) == 4
+    assert all(not r.broken and not r.trouble for r in first) and first[0].policy == "module"
+
+
+def test_a_plan_that_was_killed_goes_on_where_it_stopped(tmp_path, monkeypatch):
+    plan, store, said = small(tmp_path), Results(str(tmp_path / "s")), []
+    whole = carry_out(plan, store, 2, lambda line: None)
+    cut = Results(str(tmp_path / "cut"))
+    for cell, result in list(zip(plan.cells(), whole))[:3]:
+        cut.keep(cell.key, result)
+    cut.close()
+    again = carry_out(plan, Results(str(tmp_path / "cut")), 2, said.append)
+    assert again == whole and said[0] == "4 days, 3 of them are in the store" and len(said) == 2
+
+
+@pytest.mark.parametrize("text, said", [
+    ("day: preempt\nfactors: {traffic.nonsense: [1]}", "factors.traffic.nonsense: no such key of the day"),
+    ("day: preempt\nfactors: {traffic.per_s: [-1]}", "factors"),
+    ("day: preempt\nfactors: {traffic.per_s: []}", "has no levels"),
+    ("day: no-such-day", "neither a shipped day"),
+    ("day: preempt\npolicies: [luck]", "luck"),
+    ("day: preempt\nfactors: {engines: [[]]}", "factors")])
+def test_a_plan_that_cannot_be_carried_out_is_told_at_once(text, said, tmp_path):
+    with pytest.raises(BadSettings, match=said):
+        carry_out(small(tmp_path, text), Results(str(tmp_path / "s")), 1, lambda line: None)
+
+
+def result(group, seed, share, levels=None):
+    return Result(group, group, levels or {}, seed, [], 100, share, share, 80.0, 900.0, 0.0, 0.0, 0.0, {}, [share] * 20, 1)
+
+
+def test_differences_are_paired_by_seed_and_have_intervals():
+    results = [result(g, s, 0.5 + 0.1 * s + (0.02 if g == "b" else 0.0)) for g in "ab" for s in range(4)]
+    apart = differences(results, "b", "a")
+    assert apart.mean == pytest.approx(0.02) and apart.low == pytest.approx(0.02) and apart.high == pytest.approx(0.02)
+    alone = bootstrap([r.in_slo for r in results if r.group == "a"])
+    assert alone.low < alone.mean < alone.high and bootstrap([r.in_slo for r in results if r.group == "a"]) == alone
+    with pytest.raises(BadSettings, match="none of the results"):
+        differences(results, "b", "c")
+
+
+def test_a_report_is_one_page_with_its_pictures(tmp_path):
+    results = [result(g, s, 0.6 + 0.05 * s) for g in ("module", "random") for s in range(3)]
+    files = page("a <title>", results, tmp_path / "r.html")
+    text = files[0].read_text()
+    assert len(files) == 4 and all(f.stat().st_size > 2000 for f in files)
+    assert text.count("data:image/png;base64,") == 3 and "a &lt;title&gt;" in text and "http" not in text
