--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -369,6 +369,40 @@
     sys.exit(1 if worst >= within or broken else 0)
 
 
+@lab.command("search")
+@click.argument("day")
+@click.option("--days", default=200, show_default=True, type=click.IntRange(1, 100_000), help="That are tried.")
+@click.option("--seed", default=1, show_default=True, help="Of the search.")
+@click.option("--traffic", default=1, show_default=True, help="Seed of the arrivals, the same for all days.")
+@click.option("--out", type=click.Path(dir_okay=False), help="Write the shrunk day there.")
+@click.option("--processes", type=click.IntRange(1, 256))
+def lab_search(day: str, days: int, seed: int, traffic: int, out: str | None, processes: int | None) -> None:
+    """Look for faults on DAY's fleet that break a rule or lose most, and shrink what is found; exit 1 if a rule broke."""
+    import os
+    from concurrent.futures import ProcessPoolExecutor
+
+    from ..lab.search import Search, as_day
+    from ..rehearsal.day import find
+    form = find(day)
+    if form.ledger:
+        fail(f"{day}: a ledger cannot be played in simulated time")
+    search = Search(form, seed, traffic)
+    width = processes or os.cpu_count() or 1
+    say = lambda line: click.echo(f"  {line}")  # noqa: E731
+    with ProcessPoolExecutor(width) as pool:
+        found = search.shrink(search.look(days, pool, 2 * width, say), pool, say)
+    text = as_day(day, found, traffic)
+    click.echo(text, nl=False)
+    if out:
+        try:
+            Path(out).write_text(text)
+        except OSError as problem:
+            fail(f"{out}: {problem.strerror}")
+    click.echo(f"search: {search.tried} days, rules {5 - len(found.broken)} kept, {len(found.broken)} broken; worst "
+               f"{found.utility:.3f} of the utility with {len(found.troubles)} faults")
+    sys.exit(1 if found.broken or found.trouble else 0)
+
+
 @lab.command("compare")
 @click.argument("one")
 @click.argument("other")
--- a/aniserudder/engines/pool.py
+++ b/aniserudder/engines/pool.py
@@ -236,7 +236,8 @@
         """Delivers a release, tried a few times within the time that rules allow."""
         self.letting_go += 1
         self.counts.releases += 1
-        self._release(engine, codec.release(seq_id, ordinal, state), seq_id, self.limits.let_go_tries)
+        until = self.reactor.seconds() + self.limits.let_go_for_ms / 1000
+        self._release(engine, codec.release(seq_id, ordinal, state), seq_id, self.limits.let_go_tries, until)
 
     def probe(self, engine: str, done: Callable[[bool, dict[str, float] | None], None]) -> None:
         def answered(status: int, body: bytes) -> None:
@@ -257,13 +258,16 @@
 
     # Connections.
 
-    def _release(self, engine: str, body: bytes, seq_id: str, tries: int) -> None:
+    def _release(self, engine: str, body: bytes, seq_id: str, tries: int, until: float) -> None:
+        """Quick tries within the time that rules allow; then, across a cut, slow ones until the reader frees it by itself."""
         def answered(status: int, _: bytes) -> None:
             if status in (200, 204, 404):
                 self.letting_go -= 1
             elif tries > 1:
                 pause = self.rules.let_go_ms / 1000 / self.limits.let_go_tries
-                self.reactor.callLater(pause, self._release, engine, body, seq_id, tries - 1)
+                self.reactor.callLater(pause, self._release, engine, body, seq_id, tries - 1, until)
+            elif not self.closed and self.reactor.seconds() < until:
+                self.reactor.callLater(self.rules.let_go_ms / 1000, self._release, engine, body, seq_id, 1, until)
             else:
                 self.letting_go -= 1
                 self.counts.releases_lost += 1
--- a/aniserudder/lab/stage.py
+++ b/aniserudder/lab/stage.py
@@ -64,6 +64,7 @@
 
     def __init__(self, day: Day, plan: Plan, seed: int, folder: Path, say: Callable[[str], None], records: bool,
                  policy: type[Node] = Node) -> None:
+        self.over = False
         self.records, self.policy = records and policy is Node, policy
         self.clock = HeapClock(1_000_000.0)
         self.network = Network(self.clock, lambda one, other: NEAR)
@@ -85,6 +86,8 @@
         return done
 
     def _spawn(self, seat: NodeSeat) -> None:
+        if self.over:
+            return  # a node that was killed just before the end does not come back
         self.witness.note("node_started", node=seat.name)
         process = self.network.process(seat.name)
         settings = load(str(self._settings(seat)), NodeSettings)
@@ -122,7 +125,10 @@
         return node.running.stop().addCallback(ended)
 
     def _stop_nodes(self, done: Deferred[Ran]) -> None:
+        self.over = True
         waiting = {name for name, node in self.nodes.items() if not node.killed}
+        if not waiting:
+            self.world.callLater(HOLDS_SETTLE, self._finish, done)
 
         def ended(_: object, name: str) -> None:
             waiting.discard(name)
--- a/aniserudder/settings/schema.py
+++ b/aniserudder/settings/schema.py
@@ -88,7 +88,8 @@
     client_buffer_bytes: Count = Field(
         1_048_576, description="what may wait for one slow client; beyond it the sequence is aborted")
     stop_ms: Millis = Field(20_000, description="started streams get this long to finish when the node stops")
-    let_go_tries: Annotated[int, Field(ge=1, le=16)] = Field(4, description="tries to deliver one letting go")
+    let_go_tries: Annotated[int, Field(ge=1, le=16)] = Field(4, description="tries to deliver one letting go in time")
+    let_go_for_ms: Millis = Field(5_000, description="and it is tried on for so long: no longer than readers hold a state")
 
 
 class Streams(Part):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -11,7 +11,7 @@
 from aniserudder.lab.report import page
 from aniserudder.lab.stage import run
 from aniserudder.rehearsal.audit import Record, audit
-from aniserudder.rehearsal.day import find
+from aniserudder.rehearsal.day import Day, Fault, find
 from aniserudder.rehearsal.plan import draw
 from aniserudder.settings import BadSettings
 
@@ -154,6 +154,51 @@
     assert 2 in audit(Record(play("bad_engines", 1, tmp_path).ran.lines)).broken
 
 
+def test_a_read_lost_over_a_cut_is_let_go_soon_after_it_heals(tmp_path):
+    """Found by search: a reader's answer was lost and a cut began before the node called it off; the state lay for two seconds."""
+    lost = dict(trouble="answer_lost", at=4.4, seconds=5, count=4, kinds=["prefill"], share=0.3)
+    cut = dict(trouble="zone_cut", at=9, seconds=1.8, zone="east")
+    troubles = [Fault(trouble="slow", at=1.4, seconds=0.9, kinds=["prefill"], late_s=0.5, size=2.5), Fault(**lost),
+                Fault(trouble="reset_after", at=5.7, seconds=4.5, kinds=["mixed"], late_s=1.5), Fault(**cut)]
+    done = play("fleet", 1, tmp_path, troubles=troubles)
+    assert not audit(Record(done.ran.lines)).findings
+    healed = next(x["at"] for x in done.ran.lines if x["what"] == "healed")
+    assert not [x for x in done.ran.lines if x["what"] == "expired" and x["at"] > healed + 1_000_000]
+
+
+def test_a_node_that_dies_just_before_the_end_does_not_keep_the_day_from_ending(tmp_path):
+    crash = Fault(trouble="balancer_crash", at=8.5, seconds=3, count=4)
+    assert not audit(Record(play("fleet", 1, tmp_path, seconds=9, troubles=[crash]).ran.lines)).findings
+
+
+# Search.
+
+def test_a_search_finds_a_fault_that_is_put_there_and_shrinks_it(monkeypatch):
+    """A stand-in for playing: a cut after a crash breaks a rule, all else costs a little."""
+    from aniserudder.lab import search
+
+    def judged(job):
+        names = [t["trouble"] for t in job[1]]
+        bad = "zone_cut" in names and "balancer_crash" in names
+        return search.Found(job[1], [3] if bad else [], 1 - 0.01 * len(names))
+
+    class Here:
+        map = staticmethod(lambda what, jobs: [what(j) for j in jobs])
+    monkeypatch.setattr(search, "judge", judged)
+    looking = search.Search(find("fleet"), 2, 1)
+    found = looking.look(600, Here, 8, lambda line: None)
+    small = looking.shrink(found, Here, lambda line: None)
+    assert found.broken == [3] and sorted(t["trouble"] for t in small.troubles) == ["balancer_crash", "zone_cut"]
+    assert all(t["seconds"] <= 1 or t["count"] == 1 for t in small.troubles)
+    assert find_text(search.as_day("fleet", small, 1)).troubles
+
+
+def find_text(text):
+    from aniserudder.rehearsal.day import _like
+    from aniserudder.settings import load_text
+    return load_text(text, "found", Day, _like)
+
+
 # Experiments.
 
 SMALL = """
