--- a/aniserudder/standins/engine.py
+++ b/aniserudder/standins/engine.py
@@ -26,6 +26,7 @@
 from .witness import Witness
 from .words import length, word
 
+FETCH_S = 1.5                  # a fetch that takes longer has failed
 CHARS_PER_TOKEN = 4.3          # its own tokenizer, not the router's estimate
 REF = re.compile(r"\[ref ([\w./-]+)\]")
 _encode, _decode = msgspec.json.Encoder().encode, msgspec.json.Decoder(dict[str, Any]).decode
@@ -465,13 +466,14 @@
         host, _, port = address.rpartition(":")
 
         def failed(*_: object) -> None:
-            if work in self.fetching:
+            if work in self.fetching and not self.down:
                 self.fetching.remove(work)
                 self._refuse(work, 409, "no_state")
                 self._admit()
 
         if not port.isdigit():
             return failed()
+        self.reactor.callLater(FETCH_S, lambda: work.running or work.gone or failed())
         factory = Factory.forProtocol(lambda: ClientConnection(address, lambda c: c.drop(), lambda c: None))
         factory.noisy = False
         body = _encode({"block": (work.state.get("remote_block_ids") or [""])[0]})
@@ -587,19 +589,23 @@
 
 
 class _Fetch:
-    """The exchange of one fetch."""
+    """The exchange of one fetch. What is no proper answer brings no state, whatever its status says."""
 
     def __init__(self, done: Callable[[], None], failed: Callable[[], None]) -> None:
-        self.done, self.failed, self.status = done, failed, 0
+        self.done, self.failed, self.status, self.data = done, failed, 0, b""
 
     def head(self, status: int) -> None:
         self.status = status
 
     def body(self, data: bytes) -> None:
-        pass
+        self.data = (self.data + data)[:1024]
 
     def complete(self) -> None:
-        self.done() if self.status == 200 else self.failed()
+        try:
+            good = self.status == 200 and "tokens" in _decode(self.data)
+        except msgspec.DecodeError:
+            good = False
+        self.done() if good else self.failed()
 
     def lost(self, reason: str, malformed: bool) -> None:
         self.failed()
