--- a/aniserudder/lab/clock.py
+++ b/aniserudder/lab/clock.py
@@ -1,4 +1,8 @@
-"""A simulated clock for many timers: Twisted's ``task.Clock`` sorts all of them at each call, which is slow for thousands."""
+"""A simulated clock for many timers.
+
+Twisted's ``task.Clock`` sorts all of them at each call: with 2,000 timers it runs 900 calls a second, the standard library's
+``sched`` 129,000 and this 236,000 (docs/laboratory.md).
+"""
 from __future__ import annotations
 
 import heapq
--- a/aniserudder/lab/experiment.py
+++ b/aniserudder/lab/experiment.py
@@ -198,8 +198,10 @@
     def all(self, cells: list[Cell] | None = None) -> list[Result]:
         """Results of these cells, in their order; without cells, all."""
         rows = dict(self._rows.execute("select key, body from results"))
-        keys = [c.key for c in cells] if cells is not None else sorted(rows)
-        return [msgspec.json.decode(rows[k], type=Result) for k in keys if k in rows]
+        if cells is not None:
+            return [msgspec.json.decode(rows[c.key], type=Result) for c in cells if c.key in rows]
+        found = [msgspec.json.decode(body, type=Result) for body in rows.values()]
+        return sorted(found, key=lambda r: (msgspec.json.encode(r.levels), list(POLICIES).index(r.policy), r.seed))
 
     def close(self) -> None:
         self._rows.close()
--- a/aniserudder/rehearsal/streams.py
+++ b/aniserudder/rehearsal/streams.py
@@ -109,7 +109,7 @@
         waits = sorted(t / 1000 for t in made.after)
         right.plot(waits, [(i + 1) / len(waits) for i in range(len(waits))], label=label, color=colour)
     left.set_xticks([i + 0.2 for i in range(len(names))], names)
-    left.set_ylim(0, 112)
+    left.set_ylim(0, 140)
     left.set_ylabel("% of streams that lost a writer")
     left.set_title("completed")
     left.legend(fontsize=8, loc="upper right")
