A stream that has to stay where it trickles is not asked about at every look

A once-only stream that trickles cannot be moved, and the module was asked about it four times a second; a router without stream rules met a forced beginning with a fault.

Asked again only after as long as it takes to find one; without stream rules a forced beginning is passed on and joined by nobody.

--- a/aniserudder/core/router.py
+++ b/aniserudder/core/router.py
@@ -307,7 +307,7 @@
         if outcome is Outcome.READ:
             flight.held = Held(attempt.engine, attempt.ordinal, state)
             flight.read.append(flight.held)
-            if attempt.request.forced:
+            if self.streams and attempt.request.forced:
                 self.recovery.told(attempt.request.prompt.tokens, usage.read - usage.kept)
             elif self.streams:
                 self.recovery.read(usage.read, usage.read - usage.kept)
@@ -453,7 +453,7 @@
                 self.recovery.fared(self.now(), took / slo)
 
     def _plan_look(self) -> None:
-        if self._look is None or not self._look.active():
+        if self.node.settings.streams_go_on and (self._look is None or not self._look.active()):
             self._look = self._later(LOOK_EVERY, lambda: self.tell(self._look_around))
 
     def _look_around(self) -> None:
@@ -463,6 +463,7 @@
         for attempt in running:
             if not attempt.held and not attempt.over and self.paces.trickles(attempt.running, now):
                 self._call(TricklesCall(now, attempt.seq_id, attempt.ordinal), attempt.flight)
+                self.paces.held(attempt.running, now)  # one that has to stay is not asked about at every look
         if running:
             self._plan_look()
 
@@ -521,7 +522,7 @@
         held = flight.held.params if flight.held and not reads else None
         attempt = flight.out = Attempt(self, flight, change.ordinal, change.engine, reads, held, change.time_out,
                                        flight.request)
-        if flight.request.forced and not reads:
+        if flight.request.forced and not reads and flight.journal is not None:
             attempt.seam = Seam(flight.journal)
         self.counts.attempts += 1
         attempt.timer = self._later(change.time_out, lambda: self.tell(lambda: self._timed_out(attempt)))
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -685,3 +685,27 @@
     b.router.client_left("s2")
     lines = out.getvalue().splitlines(keepends=True)
     assert any(b'"goes on"' in line for line in lines) and replay(lines).calls == len(lines) - 1
+
+
+def test_a_stream_that_has_to_stay_is_not_asked_about_at_every_look():
+    import io
+    from aniserudder.core import Record
+    out = io.BytesIO()
+    b = bench(recorder=Record(out))
+    peers = []
+    for n in range(6):
+        b.take(f"p{n}")
+        b.read()
+        b.last.text("p ")
+        peers.append(b.last)
+    b.take("slow", "post")
+    b.read()
+    slow = b.last
+    slow.text("a ")
+    for _ in range(100):
+        b.clock.advance(0.05)
+        for one in peers:
+            if one.engine != slow.engine:
+                one.text("p ")
+    asked = [line for line in out.getvalue().splitlines() if b'"call":"trickles","at"' in line and b'"seq":"slow"' in line]
+    assert 1 <= len(asked) <= 6  # of some sixteen looks
