--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -554,24 +554,32 @@
     assert b.engines.did[-1] == f"let go s1/{b.last.ordinal} at r1" and answer.told == ["a ", "b "]
 
 
-def test_a_trickling_writer_is_left_for_another():
-    b = bench()
+def beside_peers(b, kind="note"):
+    """A stream that has had one piece, beside six others; those of them that run at other engines."""
     peers = []
     for n in range(6):
         b.take(f"p{n}")
         b.read()
         b.last.text("p ")
         peers.append(b.last)
-    answer = b.take("slow", tokens=3000)
+    answer = b.take("slow", kind)
     b.read()
-    slow = b.last
-    slow.text("a ")
-    others = [p for p in peers if p.engine != slow.engine]
-    assert len({p.engine for p in others}) >= 2
-    for _ in range(60):
+    b.last.text("a ")
+    return answer, b.last, [p for p in peers if p.engine != b.last.engine]
+
+
+def peers_write(b, others, times):
+    for _ in range(times):
         b.clock.advance(0.05)
         for one in others:
             one.text("p ")
+
+
+def test_a_trickling_writer_is_left_for_another():
+    b = bench()
+    answer, slow, others = beside_peers(b)
+    assert len({p.engine for p in others}) >= 2
+    peers_write(b, others, 60)
     assert b.router.counts.moved >= 1 and f"call off slow/{slow.ordinal}" in b.engines.did
     b.read()
     goes_on(b, answer, "b ")
@@ -581,42 +589,16 @@
 
 def test_a_once_only_stream_that_trickles_is_left_where_it_is():
     b = bench()
-    peers = []
-    for n in range(6):
-        b.take(f"p{n}")
-        b.read()
-        b.last.text("p ")
-        peers.append(b.last)
-    answer = b.take("slow", "post")
-    b.read()
-    slow = b.last
-    slow.text("a ")
-    for _ in range(60):
-        b.clock.advance(0.05)
-        for one in peers:
-            if one.engine != slow.engine:
-                one.text("p ")
+    answer, slow, others = beside_peers(b, "post")
+    peers_write(b, others, 60)
     assert answer.told == ["a "] and f"call off slow/{slow.ordinal}" not in b.engines.did
 
 
 def test_a_stream_held_for_its_client_does_not_trickle():
     b = bench()
-    peers = []
-    for n in range(6):
-        b.take(f"p{n}")
-        b.read()
-        b.last.text("p ")
-        peers.append(b.last)
-    b.take("slow")
-    b.read()
-    slow = b.last
-    slow.text("a ")
+    answer, slow, others = beside_peers(b)
     b.router.hold("slow", True)
-    for _ in range(60):
-        b.clock.advance(0.05)
-        for one in peers:
-            if one.engine != slow.engine:
-                one.text("p ")
+    peers_write(b, others, 60)
     assert f"hold slow/{slow.ordinal}" in b.engines.did and f"call off slow/{slow.ordinal}" not in b.engines.did
 
 
@@ -692,20 +674,7 @@
     from aniserudder.core import Record
     out = io.BytesIO()
     b = bench(recorder=Record(out))
-    peers = []
-    for n in range(6):
-        b.take(f"p{n}")
-        b.read()
-        b.last.text("p ")
-        peers.append(b.last)
-    b.take("slow", "post")
-    b.read()
-    slow = b.last
-    slow.text("a ")
-    for _ in range(100):
-        b.clock.advance(0.05)
-        for one in peers:
-            if one.engine != slow.engine:
-                one.text("p ")
+    answer, slow, others = beside_peers(b, "post")
+    peers_write(b, others, 100)
     asked = [line for line in out.getvalue().splitlines() if b'"call":"trickles","at"' in line and b'"seq":"slow"' in line]
     assert 1 <= len(asked) <= 6  # of some sixteen looks
