--- a/aniserudder/__main__.py
+++ b/aniserudder/__main__.py
@@ -1,4 +1,11 @@
-"""``python -m aniserudder``."""
+"""``python -m aniserudder``. A node on the platform has little memory: it starts without the other commands' libraries."""
+import sys
+
+if sys.argv[1:] == ["node"]:
+    from .platform.node import run
+
+    sys.exit(run())
+
 from .cli import main
 
 main()
--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -61,6 +61,16 @@
     sys.exit(run(form, settings))
 
 
+@main.command()
+def node() -> None:
+    """Run one node on the operators' platform, as NODE_CONFIG says, until SIGTERM or SIGINT.
+
+    ``python -m aniserudder node`` does the same in less memory.
+    """
+    from ..platform.node import run
+    sys.exit(run())
+
+
 @main.group("settings")
 def settings_group() -> None:
     """Check settings, or print their schema."""
--- a/aniserudder/core/ports.py
+++ b/aniserudder/core/ports.py
@@ -15,18 +15,21 @@
 class Request:
     """What a client asked, as the engines need it.
 
-    ``body`` holds the engine's part of the request (messages, limits), ``whole`` says that the client reads
+    ``body`` holds the engine's part of the request (messages, limits), or its very bytes where they pass through unchanged,
+    with ``target`` (path and query) and ``headers`` that pass with them. ``whole`` says that the client reads
     nothing before the answer is complete, ``token`` marks repeats of a tokened sequence for engines, ``mark`` is what
     the client itself calls the operation: its tries share it.
     """
     prompt: Prompt
-    body: dict[str, Any]
+    body: dict[str, Any] | bytes
     whole: bool = False
     token: str = ""
     model: str = ""
     mark: str = ""
     forced: str = ""         # text so far of a stream that goes on: the engine has to begin behind it
     forced_tokens: int = 0
+    target: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,8 +43,8 @@
 class Answer(Protocol):
     """The client's side of one sequence. The library calls exactly one of the last three, once."""
 
-    def text(self, piece: str) -> None:
-        """A piece of the answer, in order."""
+    def text(self, piece: str | bytes) -> None:
+        """A piece of the answer, in order: text, or the engine's own bytes where they pass through unchanged."""
 
     def generated(self, reason: str, usage: Usage) -> None:
         """Final: the answer is complete; ``reason`` is the engine's reason for stopping."""
@@ -71,7 +74,7 @@
         """Where in the whole answer the text that follows begins, in UTF-8 bytes, and the digest (xxh3, 64 bits, hex) of
         what the engine took for the text before that. Told before the first piece, where a beginning was forced."""
 
-    def text(self, piece: str) -> None:
+    def text(self, piece: str | bytes) -> None:
         """A piece of the answer; the first one is the start of the stream."""
 
     def ended(self, outcome: Outcome, usage: Usage, state: dict[str, Any] | None = None, reason: str = "",
--- a/aniserudder/core/router.py
+++ b/aniserudder/core/router.py
@@ -72,7 +72,7 @@
         if not self.over:
             self.router.tell(lambda: self.router._continues(self, at, digest))
 
-    def text(self, piece: str) -> None:
+    def text(self, piece: str | bytes) -> None:
         if not self.over:
             self.router.tell(lambda: self.router._text(self, piece))
 
@@ -244,7 +244,7 @@
 
     # What engines tell of schedule attempts.
 
-    def _text(self, attempt: Attempt, piece: str) -> None:
+    def _text(self, attempt: Attempt, piece: str | bytes) -> None:
         flight = attempt.flight
         if attempt.over or flight.out is not attempt:
             return
--- a/aniserudder/engines/pool.py
+++ b/aniserudder/engines/pool.py
@@ -19,41 +19,23 @@
 """
 from __future__ import annotations
 
-import errno
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
-from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
 from twisted.internet.interfaces import IDelayedCall, IReactorTCP
-from twisted.internet.protocol import Factory
-from twisted.python.failure import Failure
 
 from ..core.ports import Attempt, Usage
 from ..decisions.interface import Outcome
 from ..settings.schema import Limits, Rules, micros
-from ..wire.client import At, ClientConnection
+from ..wire.client import ClientConnection
+from ..wire.connections import NO_DESCRIPTOR, ConnectionCounts, Connections, Keeping, Place
 from . import codec
 
 
-NO_DESCRIPTOR = "no descriptor is left"
-
-
-@dataclass(slots=True, eq=False)
-class Place:
-    """One engine's address and the idle connections to it."""
-    engine: str
-    host: str
-    port: int
-    idle: list[tuple[ClientConnection, float]] = field(default_factory=list)  # and since when
-
-
 @dataclass(slots=True)
-class PoolCounts:
+class PoolCounts(ConnectionCounts):
     """What the pool has counted since it started."""
-    connects: int = 0
-    connect_failures: int = 0
-    reused: int = 0
     releases: int = 0
     releases_lost: int = 0
 
@@ -169,8 +151,8 @@
         self.done(0, b"")
 
 
-class EnginePool:
-    """Connections to engines, kept while idle for a bounded time.
+class EnginePool(Connections):
+    """The engines of a node, in the project's own protocol (``codec``).
 
     Args:
         reactor: Twisted's reactor, for sockets and time.
@@ -181,24 +163,13 @@
 
     def __init__(self, reactor: IReactorTCP, limits: Limits, rules: Rules, node: str, bind: str = "",
                  log: Callable[..., None] | None = None) -> None:
-        self.reactor, self.limits, self.rules, self.node, self.bind = reactor, limits, rules, node, bind
+        super().__init__(reactor, Keeping(limits.connect_ms / 1000, limits.engine_idle_ms / 1000, limits.engine_idle_most,
+                                          bind=bind))
+        self.limits, self.rules, self.node = limits, rules, node
         self.log = log or (lambda event, **fields: None)
-        self.places: dict[str, Place] = {}
         self.runs: dict[Attempt, Run] = {}
         self.counts = PoolCounts()
         self.letting_go = 0  # releases on their way
-        self.open = 0        # connections that are open or being made
-        self.on_exhausted: Callable[[], None] = lambda: None  # told when there was no descriptor for a connection
-        self.closed = False
-
-    def locate(self, engine: str, address: str) -> None:
-        """Says where an engine listens, as host:port. An engine that moved gets new connections."""
-        host, _, port = address.rpartition(":")
-        place = self.places.get(engine)
-        if place is None or (place.host, place.port) != (host, int(port)):
-            if place:
-                self._shut(place)
-            self.places[engine] = Place(engine, host.strip("[]"), int(port))
 
     # What the library asks for.
 
@@ -208,7 +179,7 @@
 
         def ready(connection: ClientConnection) -> None:
             if run.over:  # called off while the connection was made
-                return self._free(connection)
+                return self.free(connection)
             run.connection = connection
             if not connection.ask("POST", codec.GENERATE, headers, body, run):
                 run.finish(codec.Ended(Outcome.NOT_SENT, reason="the connection went before the request"))
@@ -218,7 +189,7 @@
             ours = reason == NO_DESCRIPTOR
             run.finish(codec.Ended(Outcome.NOT_SENT if ours else Outcome.NO_ROUTE, reason=reason))
 
-        self._connected(attempt.engine, ready, failed)
+        self.connected(attempt.engine, ready, failed)
 
     def call_off(self, attempt: Attempt) -> None:
         run = self.runs.get(attempt)
@@ -250,12 +221,6 @@
         path = f"{codec.USAGE}?request_id={seq_id}&attempt={ordinal}"
         self._ask(engine, "GET", path, b"", lambda status, body: done(body if status == 200 else None))
 
-    def close(self) -> None:
-        """Closes what is idle and takes no connection back."""
-        self.closed = True
-        for place in self.places.values():
-            self._shut(place)
-
     # Connections.
 
     def _release(self, engine: str, body: bytes, seq_id: str, tries: int, until: float) -> None:
@@ -293,68 +258,9 @@
 
         def ready(connection: ClientConnection) -> None:
             if state["over"]:
-                return self._free(connection)
+                return self.free(connection)
             state["connection"] = connection
             if not connection.ask(method, path, [], body, Collect(finish, self.limits.line_bytes)):
                 finish(0, b"")
 
-        self._connected(engine, ready, lambda reason: finish(0, b""))
-
-    def _connected(self, engine: str, ready: Callable[[ClientConnection], None],
-                   failed: Callable[[str], None]) -> None:
-        place = self.places.get(engine)
-        if place is None:
-            return failed("no address is known")
-        while place.idle:
-            connection, since = place.idle.pop()
-            fresh = self.reactor.seconds() - since < self.limits.engine_idle_ms / 1000
-            if fresh and connection.state is At.IDLE and connection.transport.connected:
-                self.counts.reused += 1
-                return ready(connection)
-            connection.drop()
-        self.counts.connects += 1
-        kind = TCP4ClientEndpoint if place.host.replace(".", "").isdigit() else HostnameEndpoint
-        endpoint = kind(self.reactor, place.host, place.port, timeout=self.limits.connect_ms / 1000,
-                        bindAddress=(self.bind, 0) if self.bind else None)
-        factory = Factory.forProtocol(lambda: ClientConnection(f"{place.host}:{place.port}", self._free, self._gone))
-        factory.noisy = False
-
-        self.open += 1
-
-        def made(connection: ClientConnection) -> None:
-            connection.place = place
-            ready(connection)
-
-        def not_made(failure: Failure) -> None:
-            self.counts.connect_failures += 1
-            self.open -= 1
-            if getattr(failure.value, "osError", None) in (errno.EMFILE, errno.ENFILE) or getattr(
-                    failure.value, "errno", None) in (errno.EMFILE, errno.ENFILE):
-                self.on_exhausted()
-                return failed(NO_DESCRIPTOR)
-            failed(f"no connection: {failure.value.__class__.__name__}")
-
-        endpoint.connect(factory).addCallbacks(made, not_made)
-
-    def _free(self, connection: ClientConnection) -> None:
-        place: Place = connection.place
-        if (self.closed or self.places.get(place.engine) is not place
-                or len(place.idle) >= self.limits.engine_idle_most):
-            return connection.drop()
-        now = self.reactor.seconds()
-        oldest = now - self.limits.engine_idle_ms / 1000
-        while place.idle and place.idle[0][1] < oldest:
-            place.idle.pop(0)[0].drop()
-        place.idle.append((connection, now))
-
-    def _gone(self, connection: ClientConnection) -> None:
-        place: Place | None = connection.place
-        self.open -= 1
-        if place:
-            place.idle = [(c, since) for c, since in place.idle if c is not connection]
-
-    @staticmethod
-    def _shut(place: Place) -> None:
-        for connection, _ in place.idle:
-            connection.drop()
-        place.idle.clear()
+        self.connected(engine, ready, lambda reason: finish(0, b""))
--- a/aniserudder/lab/network.py
+++ b/aniserudder/lab/network.py
@@ -47,6 +47,10 @@
     def setsockopt(self, *_: object) -> None:
         pass
 
+    def recv(self, *_: object) -> bytes:
+        """What arrives is handed on at once: nothing waits in here."""
+        raise BlockingIOError
+
 
 class Timer:
     """A process's timer: it never runs once the process is dead."""
@@ -272,6 +276,9 @@
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
         self._producer = producer
+        if not streaming:  # asked for more now, and once all is written: at once, in here
+            producer.resumeProducing()
+            producer.resumeProducing()
 
     def unregisterProducer(self) -> None:  # noqa: N802
         self._producer = None
--- /dev/null
+++ b/aniserudder/platform/clients.py
@@ -0,0 +1,246 @@
+"""The clients' side of the platform's protocol: takes requests, hands them to the router, writes what becomes of them.
+
+What cannot be read or is no request of this service is answered with an error and never reaches the router. Bodies and
+events pass as the bytes they came as.
+"""
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+
+import msgspec
+from twisted.internet.interfaces import IDelayedCall, IListeningPort, IReactorTime
+
+from ..admission.descriptors import Calm, Descriptors
+from ..core.ports import Request, Usage
+from ..core.router import Router
+from ..decisions.interface import Prompt
+from ..wire.server import At, Bounds, Exchange, ServerConnection, ServerFactory
+
+PATH, READY = "/v1/chat/completions", "/health/ready"
+BODY_MOST = 262_144      # PROTOCOL: a body holds 256 KiB at most
+OPENING_S = 2.4          # DAYS: what says nothing or never ends is closed within 3 s of connecting
+IDLE_S = 2.0             # DAYS: a connection with no open request may be closed after this
+KEPT_S = 60.0            # and is, where nobody needs the room
+CHANCE_S = 0.2           # a fresh connection is not closed to make room before it could ask
+LONGEST = 3_600_000_000  # microseconds; a deadline beyond that is none
+MOST_TOKENS = 10_000_000
+ID_MOST, NAME_MOST = 128, 256
+REMEMBERED = 4_096       # ids of requests that are over: an id never comes twice
+LOOK_EVERY = 0.1         # seconds between looks at who may be closed, while room is short
+PASSED_ON = ("request-class", "affinity-key", "request-info")
+
+
+class NoRequest(Exception):
+    """What came is no request of this service: the status that it is answered with, and why."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class _Body(msgspec.Struct):
+    """Of a body only that it is a JSON object is looked at: the rest is the engine's."""
+
+
+_body = msgspec.json.Decoder(_Body)
+
+
+def _number(text: str, least: float, most: float, what: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not least <= value <= most:  # also for what is not a number
+        raise NoRequest(400, f"{what} is no number between {least:g} and {most:g}")
+    return value
+
+
+def prompt_of(headers: dict[str, str], types: Iterable[str]) -> Prompt:
+    """What the decision module is told of a request.
+
+    Raises:
+        NoRequest: a header is missing or cannot be meant.
+    """
+    kind = headers.get("request-class", "")
+    if kind not in types:
+        raise NoRequest(400, "no such request class")
+    if "request-timeout" not in headers:
+        raise NoRequest(400, "Request-Timeout is missing")
+    left = _number(headers["request-timeout"], 1e-6, LONGEST / 1e6, "Request-Timeout")
+    info = {}
+    for part in headers.get("request-info", "").split(","):
+        name, _, value = part.strip().partition("=")
+        info[name] = value
+
+    def count(name: str) -> int:
+        return round(_number(info.get(name) or "0", 0, MOST_TOKENS, name))
+    hint = _number(headers.get("work-hint") or "0", 0, LONGEST, "Work-Hint")
+    return Prompt(kind, headers.get("affinity-key", "")[:NAME_MOST], info.get("prefix", "")[:NAME_MOST], count("prompt_len"),
+                  count("prefix_len"), count("max_out"), round(hint), round(left * 1e6), headers.get("tenant", ""))
+
+
+def request_of(exchange: Exchange, types: Iterable[str]) -> tuple[str, Request]:
+    """A sequence's id and request.
+
+    Raises:
+        NoRequest: it is none.
+    """
+    headers = exchange.headers
+    if exchange.path.partition("?")[0] != PATH:
+        raise NoRequest(404, f"no such path, allowed: POST {PATH}")
+    if exchange.method != "POST":
+        raise NoRequest(405, f"allowed: POST {PATH}")
+    id = headers.get("request-id", "")
+    if not id or len(id) > ID_MOST or not id.isascii() or not id.isprintable() or " " in id or "/" in id:
+        raise NoRequest(400, "Request-Id is missing or no id")
+    prompt = prompt_of(headers, types)
+    body = bytes(exchange.body)
+    try:
+        _body.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        raise NoRequest(400, "the body is no JSON object") from None
+    passed = tuple((name, headers[name]) for name in PASSED_ON if name in headers)
+    return id, Request(prompt, body, target=exchange.path, headers=passed)
+
+
+class StreamAnswer:
+    """One client's side of a sequence (``core.ports.Answer``)."""
+
+    __slots__ = ("clients", "exchange", "id")
+
+    def __init__(self, clients: Clients, exchange: Exchange, id: str) -> None:
+        self.clients, self.exchange, self.id = clients, exchange, id
+
+    def text(self, piece: bytes) -> None:
+        if not self.exchange.began:
+            self.exchange.begin(200)
+        self.exchange.write(piece)
+
+    def generated(self, reason: str, usage: Usage) -> None:
+        self.clients.over(self.id)
+        self.exchange.end()
+
+    def rejected(self, come_back: int, reason: str) -> None:
+        self.clients.over(self.id)
+        self.clients.fail(self.exchange, 503, reason, come_back)
+
+    def aborted(self, reason: str) -> None:
+        """Before the first event an error; after it the connection ends without the last chunk."""
+        self.clients.over(self.id)
+        if self.exchange.began:
+            self.exchange.cut()
+        else:
+            self.clients.fail(self.exchange, 502, reason)
+
+
+class Clients:
+    """The server side for one router; also its own gate (``wire.server.Gate``).
+
+    Args:
+        router: takes the sequences.
+        types: traffic types that settings name.
+        descriptors: of the process, as shared out.
+        log: of the node.
+    """
+
+    def __init__(self, router: Router, types: Iterable[str], descriptors: Descriptors, clock: IReactorTime,
+                 log: Callable[..., None]) -> None:
+        self.router, self.types, self.descriptors, self.clock, self.log = router, frozenset(types), descriptors, clock, log
+        bounds = Bounds(body=BODY_MOST, request_s=OPENING_S, idle_s=KEPT_S, first_s=OPENING_S, opening_s=OPENING_S,
+                        waiting=BODY_MOST)
+        self.factory = ServerFactory(clock, bounds, self._asked, self)
+        self.ready = self.stopping = False
+        self.turned_away = self.shed = 0
+        self.port: IListeningPort | None = None
+        self._over: OrderedDict[str, None] = OrderedDict()
+        self._look: IDelayedCall | None = None
+
+    def stop(self) -> None:
+        """Takes no new sequence: who comes is told, and each connection ends after its answer. Idle ones go now."""
+        self.ready, self.stopping = False, True
+        self.factory.last_answers()
+        for connection in list(self.factory.connections):
+            if connection.state is At.IDLE and not connection.silent:
+                connection.stop()
+
+    # Requests.
+
+    def _asked(self, exchange: Exchange) -> None:
+        if exchange.path == READY and exchange.method in ("GET", "HEAD"):
+            return exchange.reply(200 if self.ready else 503, b"")
+        try:
+            id, request = request_of(exchange, self.types)
+            if id in self.router.flights or id in self._over:
+                raise NoRequest(409, "this Request-Id has come before")
+        except NoRequest as wrong:
+            self.turned_away += 1
+            return self.fail(exchange, wrong.status, str(wrong))
+        if self.stopping:
+            self.turned_away += 1
+            return self.fail(exchange, 503, "the node is stopping")
+        exchange.body = bytearray()  # the request holds it
+        exchange.gone = lambda reason: self._left(id)
+        self.router.take(id, request, StreamAnswer(self, exchange, id))
+
+    def over(self, id: str) -> None:
+        """A sequence has its final answer, or its client left."""
+        self._over[id] = None
+        if len(self._over) > REMEMBERED:
+            self._over.popitem(last=False)
+
+    def _left(self, id: str) -> None:
+        self.over(id)
+        self.router.client_left(id)
+
+    def fail(self, exchange: Exchange, status: int, reason: str, come_back: int = 0) -> None:
+        """A final answer before any event. ``come_back`` in microseconds, 0: no advice."""
+        body = msgspec.json.encode({"error": {"message": reason}})
+        exchange.reply(status, body, [("retry-after", f"{come_back / 1e6:.3f}")] if come_back else [])
+
+    # Connections: room is made by closing those that say nothing, then those that have been idle for longest.
+
+    def comes(self, address: str) -> tuple[object, object]:
+        return None, None
+
+    def opened(self, connection: ServerConnection) -> None:
+        self._note()
+
+    def gone(self, connection: ServerConnection) -> None:
+        self._note()
+
+    def exhausted(self) -> None:
+        """A descriptor was asked for, and there was none."""
+        self.descriptors.exhausted()
+        self._calm(Calm.SHUT)
+
+    def _note(self) -> None:
+        self._calm(self.descriptors.note("clients", len(self.factory.connections)))
+
+    def _calm(self, state: Calm) -> None:
+        if state is not Calm.OPEN:
+            self._shed()
+            if self._look is None or not self._look.active():
+                self._look = self.clock.callLater(LOOK_EVERY, self._note)
+        port = self.port
+        if port is None or not port.connected:
+            return
+        reading = port in port.reactor.getReaders()
+        if state is Calm.SHUT and reading:
+            port.stopReading()
+            self.log("not accepting", level="warning", reason=f"{len(self.factory.connections)} client connections of "
+                     f"{self.descriptors.most_clients}")
+        elif state is not Calm.SHUT and not reading:
+            port.startReading()
+
+    def _shed(self) -> None:
+        now, room = self.clock.seconds(), self.descriptors.room()
+        def free(c: ServerConnection) -> bool:
+            if c.silent:
+                return c.state in (At.IDLE, At.READING) and now - c.opened_at >= CHANCE_S
+            return c.state is At.IDLE and now - c.idle_since >= IDLE_S
+        out = sorted((c for c in self.factory.connections if free(c)), key=lambda c: (not c.silent, c.idle_since))
+        for connection in out[:room]:
+            self.shed += 1
+            connection.stop()
--- /dev/null
+++ b/aniserudder/platform/engines.py
@@ -0,0 +1,337 @@
+"""The engines' side of the platform's protocol: how a schedule attempt goes out, and what came of it.
+
+=========== ==============================================================================================
+outcome     when
+=========== ==============================================================================================
+no route    no connection came up, or it broke before the request's last byte was written: it never ran
+not sent    no descriptor was left: it tells nothing of the engine
+full        503 or 504 with ``Not-Started: 1``: it never ran
+no state    410 with ``Not-Started: 1``: it never ran
+read        202 from a reader
+generated   200, events up to ``[DONE]``, and the last chunk
+cut         the connection ended, or fell silent after the first event; it may have run
+error       any other answer, and whatever cannot be understood; it may have run
+=========== ==============================================================================================
+
+Timed out and recalled are the router's own: it keeps the time and calls off.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.internet.interfaces import IDelayedCall, IReactorTCP
+
+from ..core.ports import Attempt, Usage
+from ..decisions.interface import Outcome
+from ..wire.client import ClientConnection
+from ..wire.connections import NO_DESCRIPTOR, Connections, Keeping
+from .config import Facts
+
+RESERVATIONS, STATS = "/internal/reservations", "/stats"
+SILENCE_S = 4.5          # PROTOCOL: a client is kept waiting less than 5 s after a running engine's last event
+EVENT_MOST = 65_536      # bytes of one event, and of one small answer
+CHUNK_MOST = 262_144     # bytes of one chunk: a body holds no more
+IDLE_PART = 0.6          # of the time after which engines close idle connections
+IDLE_MOST = 32           # idle connections kept for an engine
+RELEASE_EVERY_S = 0.08   # between tries of letting go; the rule leaves 300 ms, PROTOCOL adds 300
+RELEASE_TRIES = 40       # then a stopped node's rule frees it anyway
+BREAK, DATA, DONE = b"\n\n", b"data: ", b"data: [DONE]"
+WITHOUT_EFFECT = frozenset({Outcome.READ, Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT})
+
+
+class Run:
+    """One schedule attempt on its connection (``wire.client.Exchange``)."""
+
+    __slots__ = ("engines", "attempt", "connection", "status", "rest", "whole", "usage", "over", "heard", "watch")
+
+    def __init__(self, engines: PlatformEngines, attempt: Attempt) -> None:
+        self.engines, self.attempt = engines, attempt
+        self.connection: ClientConnection | None = None
+        self.status, self.rest, self.whole, self.usage, self.over = 0, b"", False, Usage(), False
+        self.heard = 0.0
+        self.watch: IDelayedCall | None = None
+
+    def head(self, status: int) -> None:
+        self.status = status
+
+    def body(self, data: bytes) -> None:
+        if self.over:
+            return
+        self.rest += data
+        if self.status == 200 and not self.attempt.reads:
+            self._events()
+        if len(self.rest) > EVENT_MOST and not self.over:
+            self.finish(Outcome.ERROR, "an event or an answer is too long", drop=True)
+
+    def _events(self) -> None:
+        """Passes on what came of whole events; anything else is none of an engine's making."""
+        end = self.rest.rfind(BREAK) + len(BREAK)
+        if end < len(BREAK):
+            if not self.rest.startswith(DATA[:len(self.rest)]):
+                self.finish(Outcome.ERROR, "what came is no event", drop=True)
+            return
+        came, self.rest = self.rest[:end], self.rest[end:]
+        good = 0
+        for event in came[:-len(BREAK)].split(BREAK):
+            if self.whole or not event.startswith(DATA):
+                break
+            good += len(event) + len(BREAK)
+            if event == DONE:
+                self.whole = True
+            elif b'"usage"' in event:
+                self.usage = usage_of(event) or self.usage
+        if good:
+            self.heard = self.engines.reactor.seconds()
+            if self.watch is None:
+                self.engines.started(self.attempt)
+                self._watch(SILENCE_S)
+            self.attempt.text(came[:good])
+        if good < len(came) and not self.over:
+            self.finish(Outcome.ERROR, "what came is no event", drop=True)
+
+    def complete(self) -> None:
+        never = self.connection.headers.get(b"not-started") == b"1"
+        match self.status:
+            case 200 if not self.attempt.reads:
+                good = self.whole and not self.rest
+                self.finish(Outcome.GENERATED if good else Outcome.CUT, "" if good else "the stream is not whole")
+            case 202 if self.attempt.reads:
+                self.usage = Usage(kept=kept_of(self.rest))
+                self.finish(Outcome.READ)
+            case 503 | 504 if never:
+                self.finish(Outcome.FULL)
+            case 410 if never:
+                self.finish(Outcome.NO_STATE)
+            case _:
+                self.finish(Outcome.ERROR, f"status {self.status}")
+
+    def lost(self, reason: str, malformed: bool) -> None:
+        if malformed:
+            self.finish(Outcome.ERROR, reason)
+        elif not self.connection.flushed and not self.status:
+            self.finish(Outcome.NO_ROUTE, reason)
+        else:
+            self.finish(Outcome.CUT, reason)
+
+    def finish(self, outcome: Outcome, reason: str = "", drop: bool = False) -> None:
+        if self.over:
+            return
+        self.close(drop)
+        if outcome not in WITHOUT_EFFECT:
+            self.engines.may_hold(self)
+        self.attempt.ended(outcome, self.usage, None, reason)
+
+    def close(self, drop: bool) -> None:
+        """Nothing more is told of this attempt."""
+        self.over = True
+        self.engines.runs.pop(self.attempt.seq_id, None)
+        if self.watch and self.watch.active():
+            self.watch.cancel()
+        if drop and self.connection:
+            self.connection.drop()
+
+    def _watch(self, after: float) -> None:
+        self.watch = self.engines.reactor.callLater(after, self._silent)
+
+    def _silent(self) -> None:
+        left = self.heard + SILENCE_S - self.engines.reactor.seconds()
+        if left > 0.001:
+            return self._watch(left)
+        self.finish(Outcome.CUT, "the stream fell silent", drop=True)
+
+
+def usage_of(event: bytes) -> Usage | None:
+    """Tokens that an event tells of; None where it tells of none."""
+    try:
+        told = msgspec.json.decode(event[len(DATA):]).get("usage")
+        kept = (told.get("prompt_tokens_details") or {}).get("cached_tokens") or 0
+        return Usage(int(told.get("prompt_tokens") or 0), int(kept), int(told.get("completion_tokens") or 0))
+    except (msgspec.DecodeError, AttributeError, TypeError, ValueError):
+        return None  # an event of text that happens to hold the word
+
+
+def kept_of(body: bytes) -> int:
+    """Prompt tokens that a reader found kept."""
+    try:
+        return int(msgspec.json.decode(body)["cached_tokens"])
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+        return 0
+
+
+def report_of(body: bytes) -> dict[str, float]:
+    """A load report, ``name=value`` by name; what cannot be read of it is left out."""
+    values: dict[str, float] = {}
+    for part in body.decode("latin-1").replace(";", ",").replace("\n", ",").split(","):
+        name, _, value = part.strip().partition("=")
+        try:
+            values[name.strip()] = float(value)
+        except ValueError:
+            continue
+    return values
+
+
+class Small:
+    """A small call's answer (``wire.client.Exchange``); status 0: it did not come off."""
+
+    __slots__ = ("done", "status", "data", "over")
+
+    def __init__(self, done: Callable[[int, bytes], None]) -> None:
+        self.done, self.status, self.data, self.over = done, 0, b"", False
+
+    def head(self, status: int) -> None:
+        self.status = status
+
+    def body(self, data: bytes) -> None:
+        self.data = (self.data + data)[:EVENT_MOST]
+
+    def complete(self) -> None:
+        self.finish(self.status)
+
+    def lost(self, reason: str, malformed: bool) -> None:
+        self.finish(0)
+
+    def finish(self, status: int) -> None:
+        if not self.over:
+            self.over = True
+            self.done(status, self.data)
+
+
+class Release:
+    """Letting go of all that is held for one sequence, until an engine has heard of it or a stream has begun."""
+
+    __slots__ = ("seq_id", "engine", "tries", "timer")
+
+    def __init__(self, seq_id: str, engine: str) -> None:
+        self.seq_id, self.engine, self.tries = seq_id, engine, 0
+        self.timer: IDelayedCall | None = None
+
+
+class PlatformEngines(Connections):
+    """The engines of a node (``core.ports.Engines``).
+
+    Args:
+        reactor: Twisted's reactor, for sockets and time.
+        facts: of the deployment.
+        most: connections in all.
+        log: of the node.
+    """
+
+    def __init__(self, reactor: IReactorTCP, facts: Facts, most: int, log: Callable[..., None]) -> None:
+        super().__init__(reactor, Keeping(facts.connect / 1e6, IDLE_PART * facts.idle / 1e6, IDLE_MOST, most, CHUNK_MOST))
+        self.log = log
+        self.runs: dict[str, Run] = {}         # by sequence: one schedule attempt at a time
+        self.releases: dict[str, Release] = {}  # that no engine has heard of yet
+        self.releases_lost = 0
+
+    # What the router asks for.
+
+    def send(self, attempt: Attempt) -> None:
+        run = self.runs[attempt.seq_id] = Run(self, attempt)
+        request = attempt.request
+        headers = [("request-id", attempt.seq_id), ("request-timeout", f"{attempt.time_out / 1e6:.3f}"), *request.headers]
+
+        def ready(connection: ClientConnection) -> None:
+            if run.over:  # called off while the connection was made
+                return self.free(connection)
+            run.connection = connection
+            if not connection.ask("POST", request.target, headers, request.body, run):
+                run.finish(Outcome.NO_ROUTE, "the connection went before the request")
+
+        def failed(reason: str) -> None:
+            run.finish(Outcome.NOT_SENT if reason == NO_DESCRIPTOR else Outcome.NO_ROUTE, reason)
+
+        self.connected(attempt.engine, ready, failed)
+
+    def call_off(self, attempt: Attempt) -> None:
+        run = self.runs.get(attempt.seq_id)
+        if run and run.attempt is attempt:
+            sent = run.connection is not None
+            run.close(drop=True)
+            if sent:
+                self.may_hold(run)
+
+    def hold(self, attempt: Attempt, held: bool) -> None:
+        run = self.runs.get(attempt.seq_id)
+        transport = run.connection.transport if run and run.attempt is attempt and run.connection else None
+        if transport and transport.connected and not transport.disconnecting:
+            transport.pauseProducing() if held else transport.resumeProducing()
+
+    def let_go(self, seq_id: str, engine: str, ordinal: int, state: dict[str, Any] | None) -> None:
+        """Delivered to any engine, tried until one has heard of it: it stands for all that is held anywhere."""
+        release = self.releases.get(seq_id)
+        if release is None:
+            release = self.releases[seq_id] = Release(seq_id, engine)
+            self._release(release)
+
+    def probe(self, engine: str, done: Callable[[bool, dict[str, float] | None], None]) -> None:
+        self._ask(engine, "GET", STATS, lambda status, body: done(status == 200, report_of(body) if status == 200 else None))
+
+    # What runs tell.
+
+    def started(self, attempt: Attempt) -> None:
+        """Its stream has begun: all else that was held is let go by that."""
+        release = self.releases.pop(attempt.seq_id, None)
+        if release and release.timer and release.timer.active():
+            release.timer.cancel()
+
+    def may_hold(self, run: Run) -> None:
+        """A read that ended just as its connection went has left its state all the same."""
+        if run.attempt.reads:
+            self.let_go(run.attempt.seq_id, run.attempt.engine, run.attempt.ordinal, None)
+
+    # Small calls.
+
+    def _release(self, release: Release) -> None:
+        if self.releases.get(release.seq_id) is not release:
+            return
+        if release.tries >= RELEASE_TRIES:
+            self.releases.pop(release.seq_id)
+            self.releases_lost += 1
+            return self.log("letting go was not delivered", level="warning", seq=release.seq_id, engine=release.engine)
+        release.timer = self.reactor.callLater(RELEASE_EVERY_S, self._release, release)
+        if release.tries and release.seq_id in self.runs:
+            return  # what is out may read anew, and its state must stay; the time begins again when it ends
+
+        def answered(status: int, body: bytes) -> None:
+            if status == 204 and self.releases.get(release.seq_id) is release:
+                self.releases.pop(release.seq_id)
+                release.timer.cancel() if release.timer.active() else None
+        engine = release.engine if release.tries == 0 else self._last_heard(release)
+        release.tries += 1
+        self._ask(engine, "DELETE", f"{RESERVATIONS}/{release.seq_id}", answered)
+
+    def _last_heard(self, release: Release) -> str:
+        """Every engine takes the call: the one heard last is the likeliest to be there, then the next."""
+        places = sorted(self.places.values(), key=lambda p: -p.heard_at)
+        return places[(release.tries - 1) % len(places)].engine if places else release.engine
+
+    def _ask(self, engine: str, method: str, path: str, done: Callable[[int, bytes], None]) -> None:
+        """One small call, bounded in time."""
+        call = Small(done)
+        held: list[ClientConnection] = []
+
+        def late() -> None:
+            call.finish(0)
+            for connection in held:
+                connection.drop()
+
+        timer = self.reactor.callLater(2 * self.keeping.connect_s, late)
+
+        def over(status: int, body: bytes) -> None:
+            timer.active() and timer.cancel()
+            done(status, body)
+        call.done = over
+
+        def ready(connection: ClientConnection) -> None:
+            if call.over:
+                return self.free(connection)
+            held.append(connection)
+            if not connection.ask(method, path, [], b"", call):
+                call.finish(0)
+        self.connected(engine, ready, lambda reason: call.finish(0))
+
+    def free(self, connection: ClientConnection) -> None:
+        connection.place.heard_at = self.reactor.seconds()
+        super().free(connection)
--- /dev/null
+++ b/aniserudder/platform/node.py
@@ -0,0 +1,211 @@
+"""One node on the operators' platform: configuration in, sockets open, signals heeded, an ordered stop.
+
+Everything is told by the environment; see ``docs/operate-platform.md``. Nothing is decided here.
+"""
+from __future__ import annotations
+
+import gc
+import os
+import resource
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
+from twisted.internet.interfaces import IListeningPort, IReactorTCP
+
+from .. import logs
+from ..admission.descriptors import Descriptors
+from ..core.router import Router
+from ..decisions.interface import Role
+from . import config
+from .clients import Clients
+from .discovery import Discovery
+from .engines import PlatformEngines
+
+LEVEL = "NODE_LOG_LEVEL"   # variable: debug, info, warning or error
+CLIENTS_PART = 0.55        # of all descriptors
+ENGINES_LESS = 24          # descriptors beside clients' and engines': discovery, listener, log, the reactor's own
+READY_S = 1.5              # a node whose discovery does not answer goes ahead with the list that it was given
+LAST_COMERS_S = 0.6        # DEPLOY: for 0.4 s after SIGTERM new connections keep coming
+QUIET_S = 1.0              # that a stopping node waits for last bytes to leave
+LOOK_S = 0.05              # between looks at what a stopping node still owes
+FIGURES_S = 5.0            # between lines of figures
+LATE_S, LATE_EVERY_S = 0.25, 0.1  # a loop that is later than this is told
+LINES_PER_S = 10           # of the log, and three times as many saved up
+
+
+class PlatformNode:
+    """Opens everything on ``start`` and closes it in order on ``stop``.
+
+    Args:
+        conf: the configuration.
+        reactor: for sockets and time.
+        log: called as ``log(event, level=..., **fields)``.
+    """
+
+    def __init__(self, conf: config.Config, reactor: IReactorTCP, log: Callable[..., None]) -> None:
+        self.conf, self.reactor, self.log = conf, reactor, log
+        limit = min(conf.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        own = limit - round(CLIENTS_PART * limit)
+        self.engines = PlatformEngines(reactor, conf.facts, max(8, own - ENGINES_LESS), log)
+        self.router = Router(conf.settings, conf.seed, self.engines, reactor, log=log, name=conf.name)
+        self.clients = Clients(self.router, (t.name for t in conf.settings.types), Descriptors(limit, own), reactor, log)
+        self.engines.on_exhausted = self.clients.exhausted
+        self.discovery = Discovery(self.router, self.engines, conf.discovery, reactor, log, self._ready)
+        self.latest = 0.0  # seconds; the most that the loop was late since the last line of figures
+        self._port: IListeningPort | None = None
+        self._stopping: Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Listens, and asks discovery; ready once that has answered.
+
+        Raises:
+            twisted.internet.error.CannotListenError: the address cannot be had.
+        """
+        host, port = self.conf.listen
+        self._port = self.clients.port = self.reactor.listenTCP(port, self.clients.factory, interface=host, backlog=1024)
+        self.discovery.start(self.conf.known)
+        self.reactor.callLater(READY_S, self._ready)
+        self.reactor.callLater(LATE_EVERY_S, self._late, self.reactor.seconds() + LATE_EVERY_S)
+        self.reactor.callLater(FIGURES_S, self._figures)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where clients are taken."""
+        at = self._port.getHost()
+        return at.host, at.port
+
+    def reload(self, path: Path) -> None:
+        """Reads the configuration anew. Discovery's address is taken over at once; other settings hold from the next start.
+        A file that cannot be used changes nothing."""
+        try:
+            fresh = config.read(path)
+        except config.BadConfig as wrong:
+            return self.log("reload refused", level="error", reason=str(wrong))
+        if fresh.settings != self.conf.settings:
+            self.log("settings hold from the next start", level="warning", reason=str(path))
+        if fresh.discovery != self.discovery.address:
+            self.discovery.move(fresh.discovery)
+        self.log("reloaded", level="info", reason=f"discovery {fresh.discovery[0]}:{fresh.discovery[1]}")
+
+    def stop(self) -> Deferred[None]:
+        """Takes no new sequence, answers those taken, lets go of what is held. Fires when all is done."""
+        if self._stopping is None:
+            self._stopping = Deferred()
+            self.log("stopping", level="info", reason=f"{len(self.router.flights)} sequences are here")
+            self.clients.stop()
+            self.reactor.callLater(LAST_COMERS_S, self._close_door)
+        return self._stopping
+
+    def _close_door(self) -> None:
+        self._port.stopListening()
+        self._wait()
+
+    def _wait(self) -> None:
+        if self.router.flights or self.engines.releases:
+            self.reactor.callLater(LOOK_S, self._wait)
+            return
+        self.clients.factory.stop()
+        self.discovery.stop()
+        self.engines.close()
+        self._leave(self.reactor.seconds() + QUIET_S)
+
+    def _leave(self, until: float) -> None:
+        if self.clients.factory.connections and self.reactor.seconds() < until:
+            self.reactor.callLater(LOOK_S, self._leave, until)
+            return
+        self.log("stopped", level="info", reason=f"{self.router.counts.taken} sequences were taken")
+        self._stopping.callback(None)
+
+    def _ready(self) -> None:
+        if self._stopping is None and not self.clients.ready:
+            self.clients.ready = True
+            gc.collect()
+            gc.freeze()  # what is here now stays: no collection need look at it again
+            self.log("ready", level="info", reason=f"{len(self.discovery.listed)} engines, {resident_kb() // 1024} MB")
+
+    def _late(self, due: float) -> None:
+        late = self.reactor.seconds() - due
+        self.latest = max(self.latest, late)
+        self.reactor.callLater(LATE_EVERY_S, self._late, self.reactor.seconds() + LATE_EVERY_S)
+
+    def _figures(self) -> None:
+        """What the node holds, and what it believes its engines hold of it."""
+        self.reactor.callLater(FIGURES_S, self._figures)
+        self.engines.sweep()
+        believed = sum(e.streams for e in self.router.node.engines.values())
+        reads = sum(len(e.out) for e in self.router.node.engines.values() if e.role is Role.READER)
+        runs = [r.attempt.reads for r in self.engines.runs.values()]
+        counts = self.router.counts
+        level = "warning" if self.latest > LATE_S else "info"
+        self.log("figures", level=level, reason=(
+            f"late {self.latest * 1000:.0f} ms, {resident_kb() // 1024} MB, clients {len(self.clients.factory.connections)}, engine "
+            f"connections {self.engines.open}, sequences {len(self.router.flights)}, reads {reads} believed {sum(runs)} out, streams "
+            f"{believed} believed {len(runs) - sum(runs)} out; taken {counts.taken}, generated {counts.generated}, rejected "
+            f"{counts.rejected}, aborted {counts.aborted}, left {counts.left}, turned away {self.clients.turned_away}, shed "
+            f"{self.clients.shed}, connects {self.engines.counts.connects} of them failed {self.engines.counts.connect_failures}, "
+            f"reused {self.engines.counts.reused}, stale {self.engines.counts.stale}, releases lost {self.engines.releases_lost}"))
+        self.latest = 0.0
+
+
+def resident_kb() -> int:
+    """Memory that the process holds at present, in KiB."""
+    with open("/proc/self/statm", "rb") as told:
+        return int(told.read().split()[1]) * resource.getpagesize() // 1024
+
+
+def bounded(log: Callable[..., None], seconds: Callable[[], float]) -> Callable[..., None]:
+    """A log that writes so many lines a second at the most; what was left out is counted in the next line."""
+    saved, at, left_out = 3.0 * LINES_PER_S, seconds(), 0
+
+    def write(event: str, level: str = "info", **fields: object) -> None:
+        nonlocal saved, at, left_out
+        now = seconds()
+        saved, at = min(3.0 * LINES_PER_S, saved + LINES_PER_S * max(0.0, now - at)), now
+        if saved < 1 and level != "error":
+            left_out += 1
+            return
+        saved -= 1
+        if left_out:
+            fields["left_out"], left_out = left_out, 0
+        log(event, level=level, **fields)
+    return write
+
+
+def run() -> int:
+    """Runs one node until SIGTERM or SIGINT. Returns the exit code: 0 stopped in order, 2 bad configuration."""
+    from twisted.internet import reactor
+    try:
+        path = config.path_of()
+        conf = config.read(path)
+    except config.BadConfig as wrong:
+        print(wrong, file=sys.stderr)
+        return 2
+    level = os.environ.get(LEVEL, "warning").lower()
+    order = ("debug", "info", "warning", "error")
+    if level not in order:
+        print(f"{LEVEL}: {level!r} is none of {', '.join(order)}", file=sys.stderr)
+        return 2
+    written = bounded(logs.make(conf.name, level), reactor.seconds)
+
+    def log(event: str, level: str = "info", **fields: object) -> None:
+        if order.index(level) >= least:
+            written(event, level=level, **fields)
+    least = order.index(level)
+    node = PlatformNode(conf, reactor, log)
+
+    def stop(number: int, frame: object) -> None:
+        reactor.callFromThread(lambda: node.stop().addCallback(lambda _: reactor.running and reactor.stop()))
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    signal.signal(signal.SIGHUP, lambda number, frame: reactor.callFromThread(node.reload, path))
+    try:
+        node.start()
+    except CannotListenError as taken:
+        print(f"{path}: listen: {taken.interface}:{taken.port}: {taken.socketError.strerror}", file=sys.stderr)
+        return 2
+    reactor.run(installSignalHandlers=False)
+    return 0
--- a/aniserudder/wire/client.py
+++ b/aniserudder/wire/client.py
@@ -4,13 +4,16 @@
 """
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from enum import Enum
 from typing import Protocol as Shape
 
 import httptools
+from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from . import text
 
@@ -37,15 +40,27 @@
         """The connection went before the answer was complete; ``malformed``: the server broke HTTP."""
 
 
+@implementer(IPullProducer)
 class ClientConnection(Protocol):
-    """Speaks HTTP/1.1 as a client."""
+    """Speaks HTTP/1.1 as a client.
+
+    Args:
+        host: the name told to the server.
+        on_free: told when an answer is complete and the connection may be used again.
+        on_gone: told once, when the connection is closed.
+        chunk_most: bytes of one chunk of an answer; a longer one breaks HTTP. 0: any.
+    """
 
     noisy = False
 
     def __init__(self, host: str, on_free: Callable[[ClientConnection], None],
-                 on_gone: Callable[[ClientConnection], None]) -> None:
+                 on_gone: Callable[[ClientConnection], None], chunk_most: int = 0) -> None:
         self.host, self.state = host, At.IDLE
         self.place: object = None  # whose connection it is; set by its owner
+        self.flushed = True        # the kernel has taken every byte of the request
+        self._written = False
+        self.headers: dict[bytes, bytes] = {}  # of the answer that is being read, names in lower case
+        self._chunk_most, self._chunk = chunk_most, 0
         self._on_free, self._on_gone = on_free, on_gone
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -57,13 +72,40 @@
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
 
+    # What the transport asks of whoever has more to write (``IPullProducer``): when the last byte has left.
+
+    def resumeProducing(self) -> None:
+        if self._written:
+            self.flushed = True
+            self.transport.unregisterProducer()
+        self._written = True
+
+    def stopProducing(self) -> None:
+        pass
+
+    @property
+    def quiet(self) -> bool:
+        """Whether the kernel holds nothing from the server: no end that the loop has not seen yet, and no bytes
+        that nobody asked for."""
+        if self.state is not At.IDLE or not self.transport.connected or self.transport.disconnecting:
+            return False
+        try:
+            self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
     def ask(self, method: str, path: str, headers: list[tuple[str, str]], body: bytes, exchange: Exchange) -> bool:
         """Writes a request. False: the connection was no longer open and no byte was written."""
         if self.state is not At.IDLE or not self.transport.connected or self.transport.disconnecting:
             return False
         self._exchange, self._head_bytes = exchange, 0
         self._change(At.BUSY)
+        self.flushed = self._written = False
         self.transport.write(text.request(method, path, self.host, headers, body))
+        self.transport.registerProducer(self, False)  # asks for more at once, and again when all has been written
         return True
 
     def drop(self) -> None:
@@ -84,12 +126,14 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as wrong:
             return self._broke(f"no HTTP: {wrong}", True)
-        if self._head_bytes >= 0:
+        if self._head_bytes >= 0 and self.state is At.BUSY:
             self._head_bytes += len(data)
             if self._head_bytes > HEAD_MOST:
                 self._broke("the answer's head is too long", True)
         if self._spoke_unasked:
             self.drop()
+        elif self.state is At.IDLE:  # not before: bytes behind the answer would pass for the next one's
+            self._on_free(self)
 
     def connectionLost(self, reason: Failure) -> None:
         if self.state is At.BUSY and self._status and not self._measured:
@@ -102,10 +146,13 @@
 
     def on_message_begin(self) -> None:
         self._status, self._measured = 0, False
+        self.headers = {}
         self._spoke_unasked = self._spoke_unasked or self._exchange is None
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() in (b"content-length", b"transfer-encoding"):
+        name = name.lower()
+        self.headers[name] = value
+        if name in (b"content-length", b"transfer-encoding"):
             self._measured = True
 
     def on_headers_complete(self) -> None:
@@ -114,7 +161,13 @@
             self._head_bytes, self._status = -1, status
             self._exchange.head(status)
 
+    def on_chunk_header(self) -> None:
+        self._chunk = 0
+
     def on_body(self, data: bytes) -> None:
+        self._chunk += len(data)
+        if self._chunk_most and self._chunk > self._chunk_most:
+            return self._broke("a chunk is too long", True)
         if self._exchange:
             self._exchange.body(data)
 
@@ -127,12 +180,10 @@
     def _complete(self, reusable: bool) -> None:
         exchange, self._exchange = self._exchange, None
         if self.state is At.BUSY:
-            self._change(At.IDLE if reusable else At.CLOSED)
+            self._change(At.IDLE if reusable and self.flushed else At.CLOSED)
         exchange.complete()
-        if self.state is At.IDLE:
-            self._on_free(self)
-        elif self.transport.connected:
-            self.transport.loseConnection()
+        if self.state is At.CLOSED and self.transport.connected:
+            self.transport.loseConnection() if self.flushed else self.transport.abortConnection()
 
     def _broke(self, reason: str, malformed: bool) -> None:
         exchange, self._exchange = self._exchange, None
--- /dev/null
+++ b/aniserudder/wire/connections.py
@@ -0,0 +1,168 @@
+"""Client connections to many servers: made when needed, kept while idle for a bounded time, bounded in number."""
+from __future__ import annotations
+
+import errno
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
+from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+
+from .client import ClientConnection
+
+NO_DESCRIPTOR = "no descriptor is left"
+
+
+@dataclass(slots=True, eq=False)
+class Place:
+    """One server's address and the idle connections to it, longest idle first."""
+    engine: str
+    host: str
+    port: int
+    idle: list[tuple[ClientConnection, float]] = field(default_factory=list)  # and since when
+    heard_at: float = 0.0  # seconds; when it last answered anything
+
+
+@dataclass(slots=True, frozen=True)
+class Keeping:
+    """How connections are made and kept: seconds for making one and for keeping an idle one, idle ones of a server,
+    connections in all (0: any), bytes of one chunk (0: any), local address (empty: any)."""
+    connect_s: float
+    idle_s: float
+    idle_most: int
+    most: int = 0
+    chunk_most: int = 0
+    bind: str = ""
+
+
+@dataclass(slots=True)
+class ConnectionCounts:
+    """What was counted since the start."""
+    connects: int = 0
+    connect_failures: int = 0
+    reused: int = 0
+    stale: int = 0  # idle ones that had ended when they were wanted
+
+
+class Connections:
+    """Connections to servers by name.
+
+    Args:
+        reactor: Twisted's reactor, for sockets and time.
+        keeping: how they are made and kept.
+    """
+
+    def __init__(self, reactor: IReactorTCP, keeping: Keeping) -> None:
+        self.reactor, self.keeping = reactor, keeping
+        self.places: dict[str, Place] = {}
+        self.counts = ConnectionCounts()
+        self.open = 0        # connections that are open or being made
+        self.on_exhausted: Callable[[], None] = lambda: None  # told when there was no descriptor for a connection
+        self.closed = False
+
+    def locate(self, engine: str, address: str) -> None:
+        """Says where a server listens, as host:port. One that moved gets new connections."""
+        host, _, port = address.rpartition(":")
+        place = self.places.get(engine)
+        if place is None or (place.host, place.port) != (host.strip("[]"), int(port)):
+            if place:
+                self.shut(place)
+            self.places[engine] = Place(engine, host.strip("[]"), int(port))
+
+    def forget(self, engine: str) -> None:
+        """The server is gone for good."""
+        place = self.places.pop(engine, None)
+        if place:
+            self.shut(place)
+
+    def connected(self, engine: str, ready: Callable[[ClientConnection], None], failed: Callable[[str], None]) -> None:
+        """Calls ``ready`` with a connection that nobody uses, or ``failed`` with why there is none."""
+        place = self.places.get(engine)
+        if place is None:
+            return failed("no address is known")
+        kept = self.kept(place)
+        if kept:
+            self.counts.reused += 1
+            return ready(kept)
+        if self.keeping.most and self.open >= self.keeping.most and not self._make_room():
+            return failed(NO_DESCRIPTOR)
+        self.counts.connects += 1
+        kind = TCP4ClientEndpoint if place.host.replace(".", "").isdigit() else HostnameEndpoint
+        endpoint = kind(self.reactor, place.host, place.port, timeout=self.keeping.connect_s,
+                        bindAddress=(self.keeping.bind, 0) if self.keeping.bind else None)
+        factory = Factory.forProtocol(lambda: ClientConnection(f"{place.host}:{place.port}", self.free, self._gone,
+                                                               self.keeping.chunk_most))
+        factory.noisy = False
+        self.open += 1
+
+        def made(connection: ClientConnection) -> None:
+            connection.place = place
+            ready(connection)
+
+        def not_made(failure: Failure) -> None:
+            self.counts.connect_failures += 1
+            self.open -= 1
+            if getattr(failure.value, "osError", None) in (errno.EMFILE, errno.ENFILE) or getattr(
+                    failure.value, "errno", None) in (errno.EMFILE, errno.ENFILE):
+                self.on_exhausted()
+                return failed(NO_DESCRIPTOR)
+            failed(f"no connection: {failure.value.__class__.__name__}")
+
+        endpoint.connect(factory).addCallbacks(made, not_made)
+
+    def kept(self, place: Place) -> ClientConnection | None:
+        """An idle connection that can still be used, newest first; what cannot is closed."""
+        while place.idle:
+            connection, since = place.idle.pop()
+            if self.reactor.seconds() - since < self.keeping.idle_s and connection.quiet:
+                return connection
+            self.counts.stale += 1
+            connection.drop()
+        return None
+
+    def free(self, connection: ClientConnection) -> None:
+        """A connection that nobody uses any more."""
+        place: Place = connection.place
+        if self.closed or self.places.get(place.engine) is not place or len(place.idle) >= self.keeping.idle_most:
+            return connection.drop()
+        now = self.reactor.seconds()
+        oldest = now - self.keeping.idle_s
+        while place.idle and place.idle[0][1] < oldest:
+            place.idle.pop(0)[0].drop()
+        place.idle.append((connection, now))
+
+    def sweep(self) -> None:
+        """Closes what has been idle for too long, also where nothing comes by."""
+        oldest = self.reactor.seconds() - self.keeping.idle_s
+        for place in self.places.values():
+            while place.idle and place.idle[0][1] < oldest:
+                place.idle.pop(0)[0].drop()
+
+    def _make_room(self) -> bool:
+        """Closes the connection that has been idle for longest."""
+        places = [p for p in self.places.values() if p.idle]
+        if not places:
+            return False
+        min(places, key=lambda p: p.idle[0][1]).idle.pop(0)[0].drop()
+        return True
+
+    def _gone(self, connection: ClientConnection) -> None:
+        place: Place | None = connection.place
+        self.open -= 1
+        if place and place.idle:
+            place.idle = [(c, since) for c, since in place.idle if c is not connection]
+
+    @staticmethod
+    def shut(place: Place) -> None:
+        """Closes a server's idle connections."""
+        idle, place.idle = place.idle, []
+        for connection, _ in idle:
+            connection.drop()
+
+    def close(self) -> None:
+        """Closes what is idle and takes no connection back."""
+        self.closed = True
+        for place in self.places.values():
+            self.shut(place)
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -42,6 +42,7 @@
     first_s: float = 0.0   # until a fresh connection begins its first request; 0: as between two
     waiting: int = 1_048_576
     send_buffer: int = 0   # bytes of the kernel's send buffer, and as many of our own; 0: as the system has it
+    opening_s: float = 0.0  # from connecting until its first request is whole; 0: bounded by the others alone
 
 
 class Exchange:
@@ -141,6 +142,7 @@
         self.gate: Gate | None = None
         self.refused: object = None      # why the door refused it: its first request is answered so
         self._asked = False
+        self.opened_at = self.idle_since = 0.0
         self._parser = httptools.HttpRequestParser(self)
         self._exchange: Exchange | None = None        # whose answer is owed
         self._building: Exchange | None = None        # whose request is being read
@@ -153,10 +155,16 @@
         self._waits = 0
         self.paused = False
 
+    @property
+    def silent(self) -> bool:
+        """Whether it never sent a whole request."""
+        return not self._asked
+
     # The socket.
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.opened_at = self.idle_since = self.clock.seconds()
         if self.bounds.send_buffer:  # what a slow client leaves there nobody can take back
             self.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.bounds.send_buffer)
             self.transport.bufferSize = self.bounds.send_buffer
@@ -334,8 +342,14 @@
         self.state = state
         if self._timer and self._timer.active():
             self._timer.cancel()
-        idle = self.bounds.idle_s if self._asked else self.bounds.first_s or self.bounds.idle_s
-        limit = {At.IDLE: idle, At.READING: self.bounds.request_s}.get(state)
+        if state is At.IDLE:
+            self.idle_since = self.clock.seconds()
+        bounds, idle, reading = self.bounds, self.bounds.idle_s, self.bounds.request_s
+        if not self._asked:
+            idle = bounds.first_s or idle
+            if bounds.opening_s:
+                reading = max(0.001, self.opened_at + bounds.opening_s - self.clock.seconds())
+        limit = {At.IDLE: idle, At.READING: reading}.get(state)
         self._timer = self.clock.callLater(limit, self._late) if limit else None
 
     def _late(self) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -436,7 +436,7 @@
 
         def none_left(*args, **kw):
             raise OSError(errno.EMFILE, "Too many open files")
-        made = s.node.pool._connected
+        made = s.node.pool.connected
 
         def connected(engine, ready, failed):
             monkeypatch.setattr(tcp.socket, "socket", none_left)
@@ -444,12 +444,12 @@
                 made(engine, ready, failed)
             finally:
                 monkeypatch.setattr(tcp.socket, "socket", real)
-        s.node.pool._connected = connected
+        s.node.pool.connected = connected
         view = await s.ask()
         await until(lambda: view.over)
         standing = [e.standing.value for e in s.node.router.node.engines.values()]
         state = s.node.messages.gate.descriptors.state
-        s.node.pool._connected = made
+        s.node.pool.connected = made
         await s.close()
         return view.status, standing, state, [f["reason"] for e, f in s.logged if e == "attempt ended"]
     status, standing, state, reasons = on_loop(scene)
