An attempt that is given up ends its sending before anything else is written

Ruled out: outcomes taken for never run (3 no route, all connects that failed), and the role (131 attempts there, all reads). Left is the order of bytes: `ClientConnection.drop` used `abortConnection`, which closes the socket in the loop's next turn, after the answer (or the next attempt) was written in this one. So the given up attempt still stood open beside it.

Change: `drop` shuts down sending at once, then aborts.

--- a/aniserudder/lab/network.py
+++ b/aniserudder/lab/network.py
@@ -47,6 +47,9 @@
     def setsockopt(self, *_: object) -> None:
         pass
 
+    def shutdown(self, *_: object) -> None:
+        pass
+
     def recv(self, *_: object) -> bytes:
         """What arrives is handed on at once: nothing waits in here."""
         raise BlockingIOError
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -189,7 +189,9 @@
     if level not in order:
         print(f"{LEVEL}: {level!r} is none of {', '.join(order)}", file=sys.stderr)
         return 2
-    written = bounded(logs.make(conf.name, level), reactor.seconds)
+    written = logs.make(conf.name, level)
+    if level != "debug":
+        written = bounded(written, reactor.seconds)
 
     def log(event: str, level: str = "info", **fields: object) -> None:
         if order.index(level) >= least:
--- a/aniserudder/wire/client.py
+++ b/aniserudder/wire/client.py
@@ -109,10 +109,21 @@
         return True
 
     def drop(self) -> None:
-        """Closes at once; the exchange hears nothing more."""
+        """Closes at once; the exchange hears nothing more.
+
+        The transport closes its socket only in the loop's next turn, when what is written after this call is out already:
+        a request given up would still stand open beside its successor, or beside its client's answer. So the end of
+        sending goes out here and now.
+        """
         self._exchange = None
         if self.state is not At.CLOSED:
+            busy = self.state is At.BUSY
             self._change(At.CLOSED)
+            if busy and self.transport.connected:
+                try:
+                    self.transport.getHandle().shutdown(socket.SHUT_WR)
+                except OSError:  # it went by itself
+                    pass
             self.transport.abortConnection()
 
     # The socket.
