A stream that is broken off still sends what was passed on; tests of the platform node on loopback

Seen in the new tests: head, event and a spoilt chunk that come in one read ended the client's connection by abort, before the event had left: a client without a byte was not answered at all. break_off flushes, then closes without the last chunk.

--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -130,7 +130,7 @@
         """Before the first event an error; after it the connection ends without the last chunk."""
         self.clients.over(self.id)
         if self.exchange.began:
-            self.exchange.cut()
+            self.exchange.break_off()  # what was passed on gets out: a client that never got a byte was not answered
         else:
             self.clients.fail(self.exchange, 502, reason)
 
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -115,6 +115,12 @@
         if self._last:
             self._last.stop()
 
+    def break_off(self) -> None:
+        """Ends the connection behind what was written, without the answer's end."""
+        connection, self._connection = self._connection, None
+        if connection:
+            connection.break_off()
+
     def cut(self) -> None:
         """Closes the connection in the middle of things, without a word."""
         connection, self._connection = self._connection, None
@@ -319,6 +325,10 @@
         if self.state in (At.IDLE, At.READING):
             self._close()
 
+    def break_off(self) -> None:
+        self._exchange = None
+        self._close()
+
     def abort(self) -> None:
         self._end("cut off")
         self.transport.abortConnection()
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,402 @@
+"""The platform node on loopback: what passes on its sockets, whatever clients, engines and discovery do."""
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from aniserudder.platform import config, discovery, engines
+from aniserudder.platform.node import bounded
+from platform_stand import EVENT, FULL, HEAD, LAST, READ, SETTINGS, STREAM, WHOLE, Site, ask, body_of, chunked
+from stand import on_loop, sleep, until
+
+
+def answers(data):
+    return lambda connection, request: connection.say(data)
+
+
+def silent(connection, request):
+    pass
+
+
+def play(engines_, requests, after=0.0, **settings):
+    """Sends requests on connections of their own; returns the site and the answers, once every client has one."""
+    async def scene():
+        site = await Site(engines_, **settings).up()
+        clients = [await site.client(r) for r in requests]
+        await until(lambda: all(b"\r\n0\r\n\r\n" in c.data or c.over or b"content-length" in c.data for c in clients))
+        await sleep(after)
+        data = [c.data for c in clients]
+        await site.close()
+        return site, data
+    return on_loop(scene)
+
+
+def status(answer):
+    return int(answer.split(b" ")[1]) if answer else 0
+
+
+# The ordinary path.
+
+def test_a_request_passes_unchanged_and_so_do_its_events():
+    site, (answer,) = play({"r1": answers(READ), "w1": answers(WHOLE)}, [ask(info="prompt_len=3000,max_out=80")])
+    assert status(answer) == 200 and body_of(answer) == STREAM and answer.endswith(b"\r\n0\r\n\r\n")
+    for name in ("r1", "w1"):
+        head, _, body = site.engines[name].requests[0].partition(b"\r\n\r\n")
+        assert body == b'{"model":"x","stream":true}' and b"POST /v1/chat/completions?v=2 HTTP/1.1" in head
+        assert b"request-id: a1" in head and b"request-timeout: " in head
+    assert site.deleted == []
+
+
+def test_what_the_router_believes_is_what_is_out():
+    async def scene():
+        site = await Site({"m1": silent}).up()
+        clients = [await site.client(ask(f"a{n}")) for n in range(3)]
+        await until(lambda: len(site.engines["m1"].requests) == 3)
+        engine = site.node.router.node.engines["m1"]
+        during = engine.streams, len(site.node.engines.runs), len(site.node.router.flights)
+        for connection in site.engines["m1"].connections:
+            connection.say(WHOLE)
+        await until(lambda: all(c.data.endswith(b"0\r\n\r\n") for c in clients))
+        after = engine.streams, len(site.node.engines.runs), len(site.node.router.flights), engine.failures
+        await site.close()
+        return during, after
+    assert on_loop(scene) == ((3, 3, 3), (0, 0, 0, 0))
+
+
+# What engines answer.
+
+@pytest.mark.parametrize("said, kind, wanted, attempts", [
+    (FULL, "send", 503, 3),                                                   # never ran: tried on, then refused
+    (b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n", "send", 502, 1),      # it may have run: no refusal, no repeat
+    (b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n", "send", 502, 1),
+    (b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n", "draft", 503, 3),
+    (b"\x00\x01noise", "send", 502, 1),
+    (b"HTTP/1.1 200 OK\r\nx-long: " + b"y" * 70_000, "send", 502, 1),
+    (HEAD + b"c0000000\r\n" + b"z" * 70_000, "send", 502, 1),
+    (HEAD + b"zz\r\n", "send", 502, 1),
+    (HEAD + chunked(b"no event at all\n\n"), "send", 502, 1),
+    (HEAD + b"0\r\n\r\n", "send", 502, 1)])
+def test_outcomes_before_the_first_event(said, kind, wanted, attempts):
+    site, (answer,) = play({"m1": answers(said)}, [ask(kind=kind)])
+    assert (status(answer), len(site.engines["m1"].requests)) == (wanted, attempts)
+    assert (b"retry-after: 0." in answer) == (wanted == 503)
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"zz\r\n", b"5\r\nhello-and-more\r\n", chunked(b"no event\n\n"), b"c0000000\r\n" + EVENT % b"z" * 4000, b"0\r\n\r\n"])
+def test_a_stream_spoilt_after_its_first_event_ends_without_the_last_chunk(spoilt):
+    _, (answer,) = play({"m1": answers(HEAD + chunked(EVENT % b"one") + spoilt)}, [ask(kind="send")])
+    assert status(answer) == 200 and EVENT % b"one" in answer and not answer.endswith(b"0\r\n\r\n")
+    assert b"no event" not in answer and b"hello" not in answer
+
+
+@pytest.mark.parametrize("good", [
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + WHOLE,
+    WHOLE.replace(b"content-type", b"server-load: \xff\xfe=;;=3=\r\ncontent-type", 1)])
+def test_what_comes_besides_a_good_stream_does_no_harm(good):
+    _, (answer,) = play({"m1": answers(good)}, [ask(kind="send")])
+    assert body_of(answer) == STREAM
+
+
+def test_a_second_answer_is_nobodys():
+    async def scene():
+        site = await Site({"m1": answers(WHOLE + WHOLE.replace(b"one", b"two"))}).up()
+        for n in range(3):
+            client = await site.client(ask(f"a{n}", "send"))
+            await until(lambda: client.data.endswith(b"0\r\n\r\n"))
+            assert body_of(client.data) == STREAM
+        used = len(site.engines["m1"].connections)
+        await site.close()
+        return used
+    assert on_loop(scene) == 3  # none of them was used again
+
+
+def test_a_silent_stream_does_not_hold_its_client(monkeypatch):
+    monkeypatch.setattr(engines, "SILENCE_S", 0.3)
+    _, (answer,) = play({"m1": answers(HEAD + chunked(EVENT % b"one"))}, [ask(kind="send")])
+    assert EVENT % b"one" in answer and not answer.endswith(b"0\r\n\r\n")
+
+
+def test_a_connection_that_does_not_come_up_never_ran():
+    async def scene():
+        site = Site({"m1": silent, "m2": answers(WHOLE)})
+        await site.engines["m1"].port.stopListening()
+        await site.up()
+        clients = [await site.client(ask(f"a{n}", "send")) for n in range(6)]
+        await until(lambda: all(c.data.endswith(b"0\r\n\r\n") for c in clients))
+        await site.close()
+        return len(site.engines["m2"].requests)
+    assert on_loop(scene) == 6
+
+
+def test_an_idle_connection_that_has_ended_is_not_used():
+    """The engine's end of it is in the kernel already, and the loop has not seen it."""
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}).up()
+        first = await site.client(ask("a1", "send"))
+        await until(lambda: first.data.endswith(b"0\r\n\r\n"))
+        place = site.node.engines.places["m1"]
+        connection, _ = place.idle[0]
+        connection.transport.stopReading()
+        site.engines["m1"].connections[0].transport.loseConnection()
+        await sleep(0.05)
+        second = await site.client(ask("a2", "send"))
+        await until(lambda: second.data.endswith(b"0\r\n\r\n"))
+        await site.close()
+        return site.node.engines.counts.stale
+    assert on_loop(scene) == 1
+
+
+# Giving up.
+
+def test_an_attempt_given_up_ends_before_the_next_thing_is_written():
+    """Seen: the next attempt, or the answer, went out while the one given up still stood open: a second copy."""
+    async def scene():
+        site = await Site({"m1": silent, "m2": silent}).up()
+        client = await site.client(ask("a1", "draft", "0.9"))
+        await until(lambda: client.data)
+        await sleep(0.05)
+        await site.close()
+        return site.log, client.data
+    log, answer = on_loop(scene)
+    seen = [what for what in log if what[0] != "discovery"]
+    assert status(answer) == 503
+    first = seen[0][0]
+    closed, other = seen.index((first, "closed")), [n for n, s in enumerate(seen) if s[0] not in (first, "client")]
+    answered = seen.index(("client", "data"))
+    assert closed < answered and all(n > closed for n in other)
+
+
+def test_a_client_that_leaves_takes_its_attempt_with_it():
+    async def scene():
+        site = await Site({"r1": silent, "w1": silent}).up()
+        client = await site.client(ask("a1", info="prompt_len=3000"))
+        await until(lambda: site.engines["r1"].requests or site.engines["w1"].requests)
+        client.transport.loseConnection()
+        await until(lambda: not site.node.router.flights and any(s == "closed" for n, s in site.log if n in ("r1", "w1")))
+        await site.close()
+        return site.node.router.counts.left
+    assert on_loop(scene) == 1
+
+
+def test_given_up_is_answered_at_once():
+    started = time.monotonic()
+    _, (answer,) = play({"m1": answers(FULL)}, [ask(left="5.0")])
+    assert status(answer) == 503 and time.monotonic() - started < 2
+
+
+# What is held.
+
+def test_what_was_read_is_let_go_when_no_writer_takes_it():
+    site, (answer,) = play({"r1": answers(READ), "w1": answers(FULL)}, [ask(info="prompt_len=3000")], after=0.2)
+    assert status(answer) == 503 and ("r1", "a1") in site.deleted
+
+
+def test_a_read_that_broke_may_have_left_its_state():
+    def breaks(connection, request):
+        connection.transport.loseConnection()
+    site, _ = play({"r1": breaks, "w1": answers(FULL)}, [ask(kind="send", info="prompt_len=3000")], after=0.2)
+    assert ("r1", "a1") in site.deleted
+
+
+def test_letting_go_is_told_elsewhere_when_its_engine_is_away():
+    async def scene():
+        site = await Site({"r1": answers(READ), "w1": silent}).up()
+        client = await site.client(ask("a1", "send", "0.6", info="prompt_len=3000"))
+        await until(lambda: site.engines["w1"].requests)
+        await site.engines["r1"].port.stopListening()
+        for connection in site.engines["r1"].connections:
+            connection.transport.abortConnection()
+        await until(lambda: client.data and site.deleted)
+        await site.close()
+        return site.deleted, site.node.engines.releases
+    assert on_loop(scene) == ([("w1", "a1")], {})
+
+
+# Bad clients.
+
+@pytest.mark.parametrize("sent", [
+    b"\x16\x03\x01\x02\x00\x01", b"GET / HTTP/9.9\r\n\r\n", b"POST /v1/chat/completions HTTP/1.1\r\nx: " + b"y" * 20_000,
+    ask(length="-5"), ask(length="62914560"), ask(length="99999999999999999999999"), ask(length="5x"),
+    ask(extra="Transfer-Encoding: chunked\r\n"), ask(extra="Transfer-Encoding: gzip\r\n"),
+    ask(kind="nonsense"), ask(kind=""), ask(left="soon"), ask(left="nan"), ask(left="-1"), ask(left="1e300"), ask(id=""),
+    ask(id="a b"), ask(id="../x"), ask(body=b"not json"), ask(body=b"[1]"), ask(info="prompt_len=many"),
+    ask(info="prompt_len=-1"), ask().replace(b"POST", b"PUT", 1), ask().replace(b"/v1/chat", b"/v9/chat", 1)])
+def test_what_cannot_be_read_or_meant_gets_an_error_and_reaches_no_engine(sent):
+    site, (answer,) = play({"m1": answers(WHOLE)}, [sent])
+    assert 400 <= status(answer) < 500 and status(answer) != 429
+    assert site.engines["m1"].requests == []
+
+
+def test_the_id_of_anothers_open_request_is_turned_away_and_that_one_goes_on():
+    async def scene():
+        site = await Site({"m1": silent}).up()
+        good = await site.client(ask("a1"))
+        await until(lambda: site.engines["m1"].requests)
+        thief = await site.client(ask("a1"))
+        await until(lambda: thief.data)
+        site.engines["m1"].connections[0].say(WHOLE)
+        await until(lambda: good.data.endswith(b"0\r\n\r\n"))
+        again = await site.client(ask("a1"))
+        await until(lambda: again.data)
+        await site.close()
+        return status(thief.data), body_of(good.data), status(again.data), len(site.engines["m1"].requests)
+    assert on_loop(scene) == (409, STREAM, 409, 1)
+
+
+@pytest.mark.parametrize("sent", [b"", b"POST /v1", ask()[:-5]])
+def test_silence_and_half_requests_are_closed_in_time(monkeypatch, sent):
+    monkeypatch.setattr("aniserudder.platform.clients.OPENING_S", 0.4)
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}).up()
+        client, began = await site.client(sent), time.monotonic()
+        await until(lambda: client.over)
+        await site.close()
+        return time.monotonic() - began
+    assert on_loop(scene) < 1.0
+
+
+def test_hundreds_of_silent_connections_leave_room_for_the_usual():
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}).up()
+        for _ in range(220):
+            await site.client()
+        usual = await site.client(ask("a1"))
+        await until(lambda: usual.data.endswith(b"0\r\n\r\n"), 3)
+        held = len(site.node.clients.factory.connections)
+        await site.close()
+        return held
+    assert on_loop(scene) <= 145
+
+
+# Discovery.
+
+def test_drains_and_whole_lists_are_followed_and_garbled_ones_are_not():
+    async def scene():
+        site = await Site({"m1": answers(WHOLE), "m2": answers(WHOLE)}).up()
+        listed = lambda: sorted(e.id for e in site.node.router.node.engines.values() if e.listed)
+        site.revision = 2
+        site.tell(site.listed(site.member("m1", "DRAINING"), complete=False))
+        await until(lambda: listed() == ["m2"] and site.watches)
+        site.tell(b'{"revision": 3, "complete": tr')
+        await until(lambda: any("cannot be used" in line for line in site.lines))
+        assert listed() == ["m2"]
+        await until(lambda: listed() == ["m1", "m2"])  # it asked for the whole list, and watches again
+        await until(lambda: site.watches)
+        for connection in site.discovery.connections:
+            connection.transport.abortConnection()
+        site.watches.clear()
+        await until(lambda: site.watches)
+        site.revision = 4
+        site.tell(site.listed(site.member("m2"), complete=True))
+        await until(lambda: listed() == ["m2"])
+        places = sorted(site.node.engines.places)
+        await site.close()
+        return places
+    assert on_loop(scene) == ["m2"]
+
+
+def test_a_restart_is_told_on_the_routers_clock():
+    since = int(time.time() * 1000) - 500
+    async def scene():
+        site = await Site({"m1": answers(WHOLE), "m2": answers(WHOLE)}).up()
+        site.tell(site.listed(site.member("m1", since=since), complete=False))
+        node = site.node.router.node
+        await until(lambda: node.engines["m1"].row.started_at)
+        await site.close()
+        return node.engines["m1"].row.started_at, [e.id for e in node.cold], site.node.router.now()
+    started, cold, now = on_loop(scene)
+    assert started == since * 1000 and cold == ["m1"] and 0 < now - started < 20_000_000
+
+
+@pytest.mark.parametrize("data", [
+    b"", b"[]", b'{"revision":1,"complete":1,"members":[]}', b'{"revision":"x","complete":true,"members":[]}',
+    b'{"revision":1,"complete":true,"members":[{"id":"a"}]}', b'{"revision":1,"complete":true,"members":[7]}',
+    b'{"revision":1,"complete":true,"members":[{"id":"a","host_port":"nowhere","phase":"SERVING"}]}',
+    b'{"revision":1,"complete":true,"members":[{"id":"a","host_port":"h:1","phase":"ODD"}]}'])
+def test_what_is_no_list(data):
+    with pytest.raises(discovery.Garbled):
+        discovery.decode(data)
+
+
+# The process.
+
+def process(tmp_path, conf, **environment):
+    path = tmp_path / "config.json"
+    path.write_text(conf if isinstance(conf, str) else json.dumps(conf))
+    env = {**os.environ, "NODE_CONFIG": str(path), "NODE_LOG_LEVEL": "info", **environment}
+    return subprocess.Popen([sys.executable, "-m", "aniserudder", "node"], env=env, stderr=subprocess.PIPE, text=True)
+
+
+def test_reload_and_stop(tmp_path):
+    """SIGHUP moves to another discovery and survives a file that cannot be used; SIGTERM then answers what was taken."""
+    from twisted.internet.threads import deferToThread
+
+    async def scene():
+        site, other = Site({"m1": silent}), Site({"m1": silent})
+        listen = f"127.0.0.1:{__import__('aniserudder.wire.text').wire.text.free_port()}"
+        site.conf["listen"] = listen
+        node = process(tmp_path, site.conf)
+        await until(lambda: site.watches)
+        host, _, port = listen.rpartition(":")
+        site.node = type("There", (), {"address": (host, int(port))})
+        (tmp_path / "config.json").write_text("{")
+        node.send_signal(signal.SIGHUP)
+        await sleep(0.3)
+        (tmp_path / "config.json").write_text(json.dumps({**site.conf, "discovery": other.discovery.address}))
+        node.send_signal(signal.SIGHUP)
+        await until(lambda: other.watches)
+        client = await site.client(ask("a1"))
+        await until(lambda: site.engines["m1"].requests)
+        node.send_signal(signal.SIGTERM)
+        await sleep(0.1)
+        late, ready = await site.client(ask("a2")), await site.client(b"GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n")
+        await until(lambda: late.data and ready.data)
+        site.engines["m1"].connections[0].say(WHOLE)
+        await until(lambda: client.data.endswith(b"0\r\n\r\n"))
+        code = await deferToThread(node.wait, 5)
+        for party in (site.discovery, other.discovery, *site.engines.values(), *other.engines.values()):
+            party.stop()
+        return code, body_of(client.data), status(late.data), status(ready.data), node.stderr.read()
+    code, answer, late, ready, said = on_loop(scene)
+    assert (code, answer, late, ready) == (0, STREAM, 503, 503)
+    assert "reload refused" in said and "reloaded" in said and "stopped" in said
+
+
+@pytest.mark.parametrize("conf, problem", [
+    ("{", "no JSON"), ("[]", "not an object"), ("{}", "lacks 'settings'"),
+    ({"name": "n", "listen": "x", "discovery": "h:1", "settings": SETTINGS}, "'x' is no address")])
+def test_a_bad_configuration_is_one_plain_line(tmp_path, conf, problem):
+    node = process(tmp_path, conf)
+    _, said = node.communicate(timeout=10)
+    assert node.returncode == 2 and problem in said and said.count("\n") == 1
+
+
+def test_no_configuration(tmp_path):
+    node = process(tmp_path, "{}", NODE_CONFIG="")
+    assert node.communicate(timeout=10)[1] == "NODE_CONFIG is not set: it names the node's configuration\n" and node.returncode == 2
+
+
+def test_a_node_imports_nothing_it_has_no_room_for(tmp_path):
+    code = "import sys, aniserudder.platform.node; print([m for m in ('pydantic', 'numpy', 'matplotlib', 'yaml') if m in sys.modules])"
+    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == "[]\n"
+
+
+def test_the_log_is_bounded():
+    lines, now = [], [0.0]
+    log = bounded(lambda event, **fields: lines.append(fields), lambda: now[0])
+    for _ in range(1000):
+        log("flood", level="warning")
+    now[0] = 10.0
+    log("after", level="warning")
+    assert len(lines) == 31 and lines[-1]["left_out"] == 970
+
+
+def test_the_configuration_is_decoded_as_the_simulators_settings_are():
+    from aniserudder import simhost
+    conf = config.decode({"name": "n", "listen": "h:1", "discovery": "h:2", "seed": "ff", "settings": SETTINGS})
+    assert conf.settings == simhost.Instance("x", {"boot-info": SETTINGS, "prng": 1}).node.settings and conf.seed == 255
