Broken streams tell how many events they passed on and for how long

What the node believes to be out (reads, streams) equals what is on its sockets in every line of figures (45 believed, 45 out with 233 client connections).

--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -44,13 +44,15 @@
 class Run:
     """One schedule attempt on its connection (``wire.client.Exchange``)."""
 
-    __slots__ = ("engines", "attempt", "connection", "status", "rest", "whole", "usage", "over", "heard", "watch")
+    __slots__ = ("engines", "attempt", "connection", "status", "rest", "whole", "usage", "over", "heard", "watch",
+                 "began", "passed")
 
     def __init__(self, engines: PlatformEngines, attempt: Attempt) -> None:
         self.engines, self.attempt = engines, attempt
         self.connection: ClientConnection | None = None
         self.status, self.rest, self.whole, self.usage, self.over = 0, b"", False, Usage(), False
-        self.heard = 0.0
+        self.heard = self.began = 0.0
+        self.passed = 0            # events passed on
         self.watch: IDelayedCall | None = None
 
     def head(self, status: int) -> None:
@@ -84,7 +86,9 @@
                 self.usage = usage_of(event) or self.usage
         if good:
             self.heard = self.engines.reactor.seconds()
+            self.passed += came.count(BREAK, 0, good)
             if self.watch is None:
+                self.began = self.heard
                 self.engines.started(self.attempt)
                 self._watch(SILENCE_S)
             self.attempt.text(came[:good])
@@ -121,6 +125,8 @@
         self.close(drop)
         if outcome not in WITHOUT_EFFECT:
             self.engines.may_hold(self)
+        if self.passed and outcome is not Outcome.GENERATED:
+            reason += f"; {self.passed} events in {1000 * (self.engines.reactor.seconds() - self.began):.0f} ms"
         self.attempt.ended(outcome, self.usage, None, reason)
 
     def close(self, drop: bool) -> None:
