Lost work counts against repeats by the time that it took

Ruled out: ejections (readers stood trusted), attempts used up (one of five). The lines at fault: `Node.ended`, which took a whole point of `again` (a tenth earned by each sequence) for a reset after 5 ms as for a read lost after a second.

Change: the point is taken in proportion to the time the attempt was out, whole from a quarter of the latency SLO on (QUICK, as there). Guards against rejecting while a way to engines loses connections; harm: an engine that fails at once and is not ejected yet may be tried more often, within the attempts allowed.

--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -190,8 +190,10 @@
             elif outcome is not Outcome.READ:
                 if outcome is Outcome.NO_STATE and seq.reader:
                     seq.tried.append(seq.reader)  # the two may be cut off from each other: read elsewhere
-                # Work lost is done again only so often, whatever lost it: else a jam feeds itself.
-                self.again -= outcome not in CHEAP
+                # Work lost is done again only so often, whatever lost it: else a jam feeds itself. What ended
+                # soon after it was sent, as a reset connection does, lost that much less.
+                took = (self.now - attempt.sent_at) / (QUICK * (seq.slo_at - seq.arrived) + 1)
+                self.again -= min(1.0, took) if outcome not in CHEAP else 0.0
             if self.again < 0:
                 self.again = 0.0
                 self._give_up(seq)
@@ -202,8 +204,8 @@
         return self._done()
 
     def goes_on(self, now: int, id: str, prompt: Prompt | None) -> list[Change]:
-        """A broken stream's turn: ``prompt`` counts the text so far now, and its SLO begins anew. None: it has
-        no turn any more."""
+        """A broken stream's turn: ``prompt`` counts the text so far now, and its SLO begins anew. None: it
+        has no turn any more."""
         self.now, seq = now, self.seqs.get(id)
         if seq and seq.state is State.BROKEN:
             if prompt is None:
