Strangers that ask nothing go first and at once while room is short

Counted in the log by state: of 462 client connections 450 were idle, had asked once and never had a sequence. The line at fault: `Clients._shed` gave each of them 2 s, so that 422 places passed 200 connections a second, and usual clients waited behind them in the kernel's queue.

Change: while room is short, connections that never had a sequence close after 0.1 s of idleness, all of them; unread bytes in the kernel count as asking. Connections that had one keep their 2 s.

--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -23,12 +23,12 @@
 OPENING_S = 2.4          # DAYS: what says nothing or never ends is closed within 3 s of connecting
 IDLE_S = 2.0             # DAYS: a connection with no open request may be closed after this
 KEPT_S = 60.0            # and is, where nobody needs the room
-CHANCE_S = 0.2           # a fresh connection is not closed to make room before it could ask
+CHANCE_S = 0.1           # a connection that never had a sequence is not closed to make room before it could ask for one
 LONGEST = 3_600_000_000  # microseconds; a deadline beyond that is none
 MOST_TOKENS = 10_000_000
 ID_MOST, NAME_MOST = 128, 256
 REMEMBERED = 4_096       # ids of requests that are over: an id never comes twice
-LOOK_EVERY = 0.1         # seconds between looks at who may be closed, while room is short
+LOOK_EVERY = 0.05        # seconds between looks at who may be closed, while room is short
 PASSED_ON = ("request-class", "affinity-key", "request-info")
 
 
@@ -182,6 +182,7 @@
             return self.fail(exchange, 503, "the node is stopping")
         exchange.body = bytearray()  # the request holds it
         exchange.gone = lambda reason: self._left(id)
+        exchange.connection.ticket = exchange.connection  # no stranger any more
         self.router.take(id, request, StreamAnswer(self, exchange, id))
 
     def over(self, id: str) -> None:
@@ -229,18 +230,26 @@
         reading = port in port.reactor.getReaders()
         if state is Calm.SHUT and reading:
             port.stopReading()
-            self.log("not accepting", level="warning", reason=f"{len(self.factory.connections)} client connections of "
-                     f"{self.descriptors.most_clients}")
+            self.log("not accepting", level="warning", reason=f"{self.composition()}, of {self.descriptors.most_clients}")
         elif state is not Calm.SHUT and not reading:
             port.startReading()
 
+    def composition(self) -> str:
+        """Client connections by what they do. Strangers never had a sequence."""
+        here = self.factory.connections
+        strangers = sum(c.ticket is None for c in here)
+        states = ", ".join(f"{sum(c.state is state for c in here)} {state.value}" for state in At)
+        return f"{len(here)} client connections ({strangers} strangers; {states})"
+
     def _shed(self) -> None:
-        now, room = self.clock.seconds(), self.descriptors.room()
-        def free(c: ServerConnection) -> bool:
-            if c.silent:
-                return c.state in (At.IDLE, At.READING) and now - c.opened_at >= CHANCE_S
-            return c.state is At.IDLE and now - c.idle_since >= IDLE_S
-        out = sorted((c for c in self.factory.connections if free(c)), key=lambda c: (not c.silent, c.idle_since))
-        for connection in out[:room]:
+        """Strangers that ask nothing since their chance go at once, all of them: the usual clients stand in one queue with
+        whoever connects by the hundreds, and wait until those before them are in. Then who has been idle for longest, as far
+        as room is wanted. Whose bytes the loop has not come to yet has spoken."""
+        now, strangers, known = self.clock.seconds(), [], []
+        for c in self.factory.connections:
+            if c.state is At.IDLE and now - c.idle_since >= (CHANCE_S if c.ticket is None else IDLE_S) and not c.unread:
+                (strangers if c.ticket is None else known).append(c)
+        known.sort(key=lambda c: c.idle_since)
+        for connection in strangers + known[:max(0, self.descriptors.room() - len(strangers))]:
             self.shed += 1
             connection.stop()
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -142,7 +142,7 @@
         counts = self.router.counts
         level = "warning" if self.latest > LATE_S else "info"
         self.log("figures", level=level, reason=(
-            f"late {self.latest * 1000:.0f} ms, {resident_kb() // 1024} MB, clients {len(self.clients.factory.connections)}, engine "
+            f"late {self.latest * 1000:.0f} ms, {resident_kb() // 1024} MB, {self.clients.composition()}, engine "
             f"connections {self.engines.open}, sequences {len(self.router.flights)}, reads {reads} believed {sum(runs)} out, streams "
             f"{believed} believed {len(runs) - sum(runs)} out; taken {counts.taken}, generated {counts.generated}, rejected "
             f"{counts.rejected}, aborted {counts.aborted}, left {counts.left}, turned away {self.clients.turned_away}, shed "
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -166,6 +166,14 @@
         """Whether it never sent a whole request."""
         return not self._asked
 
+    @property
+    def unread(self) -> bool:
+        """Whether the kernel holds something from the client that the loop has not come to yet."""
+        try:
+            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     # The socket.
 
     def connectionMade(self) -> None:
