What a reader turned away is read by a writer with room first

Checked in full logs: all by the three readers, each 0.64 to 0.67 s after it was asked, while the same readers read 302 others in the same seconds in 0.01 to 1.7 s. Ruled out: full queues (they answer at once), one engine's illness (all three alike), our connections (fresh and kept alike), the proof of not having run (Not-Started was there). A sequence that one reader turned away, the next ones did too, and after three the latency SLO was gone. The lines at fault: `Node._route` sends it to the next reader as long as there is one, whatever the first one said; a writer that could read it is asked last, when it is too late.

Change: a reader's `full` sets the sequence to local: the next attempt goes to a writer or mixed engine that can read it soon, and to a reader only where there is none. Guards against whatever all readers refuse alike; harm: writers read more while readers' queues are full, within LOCAL_SOON.

--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -183,6 +183,8 @@
                 self._change(seq, State.READ, engine)
             else:
                 seq.tried.append(engine)
+            if outcome is Outcome.FULL and engine.role is Role.READER:
+                seq.local = True  # the next reader may turn it away as well: first a writer with room
             if attempt.started_at:  # the host's scheduler bounds what is read again for broken streams
                 self._credit(seq, attempt, outcome)
                 seq.broke = len(seq.attempts)
