--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -119,6 +119,13 @@
     s.check("reset_at_once")
 
 
+def test_what_a_reader_turned_away_is_read_by_a_writer_with_room():
+    """Seen in incident rbb0dc4: all readers turned some sequences away, each after two thirds of a second."""
+    s = Story("r1 r2 w1 m1")
+    s.arrive("a1").after(0.65).end("a1", 0, Outcome.FULL).after(0.3).start("a1", 1)
+    s.check("turned_away")
+
+
 def test_queue_is_not_illness():
     """Time-outs at an engine that goes on answering others do not eject it."""
     s = Story("r1 w1")
