--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -187,6 +187,13 @@
     assert 1 <= got.count(502) <= 5 and rested  # one for each octave of idle age; each second one otherwise
 
 
+@pytest.mark.parametrize("body, values", [
+    (b"inflight=3,util=0.5", {"inflight": 3.0, "util": 0.5}), (b"inflight=3; \xff=;=;util=x\nqueue=1", {"inflight": 3.0, "queue": 1.0}),
+    (b"", {}), (b"\x00\x01", {})])
+def test_of_a_load_report_what_can_be_read_is_taken(body, values):
+    assert engines.report_of(body) == values
+
+
 # Giving up.
 
 def test_an_attempt_given_up_ends_before_the_next_thing_is_written():
