--- a/aniserudder/messages/gate.py
+++ b/aniserudder/messages/gate.py
@@ -15,7 +15,7 @@
 from ..admission.door import Door, Refused, Ticket
 from ..admission.entry import Discipline, EntryQueue, Waiting
 from ..settings.schema import Admission
-from ..wire.server import ServerConnection
+from ..wire.server import ServerConnection, accepts
 
 LOOK_EVERY = 0.5     # seconds between looks at what the process holds in all
 REFUSED_S = 0.5      # seconds that a refused connection has to say what it wants
@@ -173,16 +173,11 @@
             for ticket in self.door.idle(self.descriptors.room()):
                 self._close(ticket)
                 self.door.goes(ticket)
-        port = self.port
-        if port is None or not port.connected:
-            return
-        reading = port in port.reactor.getReaders()
-        if state is Calm.SHUT and reading:
-            port.stopReading()
+        shut = state is Calm.SHUT
+        if shut and accepts(self.port, False):
             self.log("not accepting", level="warning", reason=f"{self._clients} client connections of "
                      f"{self.descriptors.most_clients}")
-        elif state is not Calm.SHUT and not reading and not self.door.stopping:
-            port.startReading()
+        elif not shut and not self.door.stopping and accepts(self.port, True):
             self.log("accepting again", level="info", reason=f"{self._clients} client connections")
 
     def _say(self, refused: Refused, address: str) -> None:
--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -16,7 +16,7 @@
 from ..core.ports import Request, Usage
 from ..core.router import Router
 from ..decisions.interface import Prompt
-from ..wire.server import At, Bounds, Exchange, ServerConnection, ServerFactory
+from ..wire.server import At, Bounds, Exchange, ServerConnection, ServerFactory, accepts
 
 PATH, READY = "/v1/chat/completions", "/health/ready"
 BODY_MOST = 262_144      # PROTOCOL: a body holds 256 KiB at most
@@ -224,15 +224,8 @@
             self._shed()
             if self._look is None or not self._look.active():
                 self._look = self.clock.callLater(LOOK_EVERY, self._note)
-        port = self.port
-        if port is None or not port.connected:
-            return
-        reading = port in port.reactor.getReaders()
-        if state is Calm.SHUT and reading:
-            port.stopReading()
+        if accepts(self.port, state is not Calm.SHUT) and state is Calm.SHUT:
             self.log("not accepting", level="warning", reason=f"{self.composition()}, of {self.descriptors.most_clients}")
-        elif state is not Calm.SHUT and not reading:
-            port.startReading()
 
     def composition(self) -> str:
         """Client connections by what they do. Strangers never had a sequence."""
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -13,7 +13,7 @@
 from typing import Protocol as Shape
 
 import httptools
-from twisted.internet.interfaces import IDelayedCall, IPushProducer, IReactorTime
+from twisted.internet.interfaces import IDelayedCall, IListeningPort, IPushProducer, IReactorTime
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
 from zope.interface import implementer
@@ -23,6 +23,14 @@
 AHEAD = 4  # whole requests that a client may send before it is answered
 
 
+def accepts(port: IListeningPort | None, wanted: bool) -> bool:
+    """Has a listener take new connections, or leave them in the system's queue. Returns whether that changed anything."""
+    if port is None or not port.connected or (port in port.reactor.getReaders()) is wanted:
+        return False
+    port.startReading() if wanted else port.stopReading()
+    return True
+
+
 class At(Enum):
     """States of a connection."""
     IDLE = "idle"
