--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -124,6 +124,13 @@
                 engine.failures, engine.turn = 0, self.chance()
             engine.row, engine.role = row, role
             engine.listed = row.availability is Availability.RUNNING
+        for engine in list(self.engines.values()):
+            if engine.listed or engine.out:
+                engine.gone_at = 0
+            elif not engine.gone_at:
+                engine.gone_at = now
+            elif now - engine.gone_at > KEPT_FOR:  # all that is known of it has aged away: the table stays bounded
+                del self.engines[engine.id]
         self.homes.clear()
         listed = [e for e in self.engines.values() if e.listed]
         self.cold = [e for e in listed if self._is_cold(e)]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -297,3 +297,18 @@
     s.end("a", 1, Outcome.RECALLED).turn("a", 3020).after(0.1).end("a", 2, Outcome.READ).after(0.05).start("a", 3)
     s.roster("w1", availability=Availability.GONE).roster("w2", availability=Availability.GONE).after(1).trickle("a", 3)
     s.check("trickles")
+
+
+def test_engines_that_are_gone_for_good_are_forgotten():
+    """Thousands come and go; what is out at one that left keeps it, and one that is back soon is the one it was."""
+    s = Story("r1 w1").arrive("a").after(0.1).end("a", 0, Outcome.READ)
+    engines = s.node.engines
+    for i in range(3000):
+        s.after(1).roster(f"r{i}", f"w{i}", complete=True)
+        assert len(engines) <= 2 * 63 + 1
+    assert "w1" in engines and "r1" not in engines  # the stream at w1 has not ended
+    s.end("a", 1, Outcome.CUT, final=True).after(61).roster("r9").after(61).roster("r9")
+    assert "w1" not in engines
+    before = engines["r9"]
+    s.roster("r8", complete=True).after(30).roster("r9")
+    assert engines["r9"] is before
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,9 +7,10 @@
 import time
 
 import pytest
+from twisted.internet.task import Clock
 
 from aniserudder.platform import config, discovery, engines
-from aniserudder.platform.node import bounded
+from aniserudder.platform.node import PlatformNode, bounded
 from aniserudder.wire.connections import Ages
 from platform_stand import EVENT, FULL, HEAD, LAST, READ, SETTINGS, STREAM, WHOLE, Site, ask, body_of, chunked
 from stand import on_loop, sleep, until
@@ -361,6 +362,21 @@
     assert on_loop(scene) == ["m2"]
 
 
+def test_tables_stay_bounded_while_thousands_of_engines_come_and_go():
+    """Nothing is kept of an engine that is gone for good: no address, no place for connections, nothing in the module."""
+    clock, conf = Clock(), {"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+    node = PlatformNode(config.decode(conf), clock, lambda event, **fields: None)
+    for i in range(3000):
+        clock.advance(1)
+        members = [{"id": f"{n}{i}", "host_port": "127.0.0.1:9", "flavor": kind, "phase": "SERVING", "locality": "a", "cell": 1}
+                   for n, kind in (("r", "prefill"), ("w", "decode"))]
+        gone = [{**m, "id": f"{m['id'][0]}{i - 1}", "phase": "DELETED"} for m in members] if i else []
+        told = members if i % 2 else members + gone
+        node.discovery.take(discovery.read({"revision": i, "complete": bool(i % 2), "members": told}))
+        assert len(node.engines.places) == len(node.discovery.listed) == 2
+        assert len(node.router.node.engines) <= 2 * 63
+
+
 def test_a_restart_is_told_on_the_routers_clock():
     since = int(time.time() * 1000) - 500
     async def scene():
