--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -129,7 +129,7 @@
                 engine.gone_at = 0
             elif not engine.gone_at:
                 engine.gone_at = now
-            elif now - engine.gone_at > KEPT_FOR:  # all that is known of it has aged away: the table stays bounded
+            elif now - engine.gone_at > KEPT_FOR:  # all known of it has aged away: the table is bounded
                 del self.engines[engine.id]
         self.homes.clear()
         listed = [e for e in self.engines.values() if e.listed]
@@ -424,9 +424,12 @@
         return best if best and self._soon(best, seq, LESS_ROOM if seq.over_share else 1.0) else None
 
     def _soon(self, engine: Engine, seq: Sequence, part: float) -> bool:
-        """Within this part of the SLO, and within what is left of it and of a client's try."""
+        """Within this part of the SLO, and within what is left of it and of a client's try. Where others wait a
+        long read makes them wait in turn: there it counts once more, up to what is waited already."""
         left = min(seq.slo_at, seq.abandon_at) - self.now
-        return self._read_time(engine, seq) <= min(part * (seq.slo_at - seq.arrived), ADMIT * left)
+        took = self._read_time(engine, seq)
+        own = self.read_pace.get(engine.role, FIRST_READ_PACE) * self._left(engine, seq)
+        return took <= part * (seq.slo_at - seq.arrived) and took + min(own, took - own) <= ADMIT * left
 
     def _read_time(self, engine: Engine, seq: Sequence) -> float:
         """Own tokens at the pace of an idle engine, and a wait that grows with what is outstanding of them,
--- a/aniserudder/decisions/state.py
+++ b/aniserudder/decisions/state.py
@@ -13,7 +13,7 @@
     row: RosterRow
     role: Role
     listed: bool = True
-    gone_at: int = 0             # since when it is not listed and nothing of this node's is out there; 0: it is, or something is
+    gone_at: int = 0             # since when it is unlisted with nothing out there; 0: it is not
     standing: Standing = Standing.TRUSTED
     failures: int = 0            # in a row
     pause: int = 0               # length of the present ejection
