--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -424,8 +424,8 @@
         return best if best and self._soon(best, seq, LESS_ROOM if seq.over_share else 1.0) else None
 
     def _soon(self, engine: Engine, seq: Sequence, part: float) -> bool:
-        """Within this part of the SLO, and within what is left of it and of a client's try. Where others wait a
-        long read makes them wait in turn: there it counts once more, up to what is waited already."""
+        """Within this part of the SLO, and within what is left of it and of a client's try. Where others wait
+        a long read makes them wait in turn: there it counts once more, up to what is waited already."""
         left = min(seq.slo_at, seq.abandon_at) - self.now
         took = self._read_time(engine, seq)
         own = self.read_pace.get(engine.role, FIRST_READ_PACE) * self._left(engine, seq)
