A ledger asks nodes what they hold before it grants; leases are flushed

Cause: a ledger file that is older than what was told granted 1,900 of a budget of 1,000 (LedgerService.lease took the file as the truth; with process durability a grant was told before it was flushed, Store.keep_leases).

Change: each start of a ledger is a term. Grants carry what is out in all, which covers holders that cannot be asked. Leases are flushed whatever the durability of entries. A node shows itself every half second while it holds something.

Measured: a search over all histories of 6 and 7 steps (asks, lost answers, copies, restores, kills) finds no double grant where all are heard, and with a sleeping node or a lost disk never more than that node was granted after the copy.

--- a/aniserudder/durable/order.py
+++ b/aniserudder/durable/order.py
@@ -59,7 +59,7 @@
     Kind.SHIPPED: Policy(256, 1_500 * MS),
     # Nobody waits for these, and an older one is worth nothing beside a newer.
     Kind.LIST: Policy(16, 0, newest=True),
-    Kind.LEARNED: Policy(16, 0, newest=True),
+    Kind.LEARNED: Policy(4_096, 0, newest=True),
     # A record with a gap cannot be replayed: rather it ends.
     Kind.RECORD: Policy(65_536, 0, group=4_096),
     Kind.READING: Policy(16, 0, newest=True),
--- a/aniserudder/ledger/books.py
+++ b/aniserudder/ledger/books.py
@@ -25,20 +25,21 @@
 from ..decisions.interface import Outcome
 from ..durable import Inline, Kind, Lane, State
 from ..tenants.billing import Try, Work, charge
-from ..tenants.keeper import Keeper, Refusal
+from ..tenants.keeper import Account, Keeper, Refusal
 from ..tenants.shares import Lease
 from ..wire.client import ClientConnection
 from .entries import Ended, Entry, Row, Sent, Shipment, Taken, Told
-from .service import Ask, Asks, Grant
+from .service import Ask, Asks, Grant, Hold, Reply
 from .store import Store
 
 PROVEN = frozenset({Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT})  # nothing ran
 SHIP_MOST = 500       # entries in one shipment
 ASK_PENDING = 64      # attempts that are asked for at a time
+BEAT_S = 0.5          # a node that holds a lease shows itself to the ledger so often, in case that one has started anew
 SAY_EVERY = 1.0       # seconds between lines on entries that could not be written
 BAD = (State.SLOW, State.FAILING, State.CLOSED)
 _encode, _dict = msgspec.json.Encoder().encode, msgspec.json.Decoder(dict[str, Any]).decode
-_grants = msgspec.json.Decoder(dict[str, list[Grant]]).decode
+_reply = msgspec.json.Decoder(Reply).decode
 
 
 @dataclass(slots=True, eq=False)
@@ -172,6 +173,9 @@
         self.last, self.upto = store.last, store.shipped(node)  # as far as the disk has told
         self.open: dict[str, Open] = {}
         self.waiting: dict[tuple[str, int], tuple[Sent, float, int]] = {}  # not told yet: since when, pieces seen
+        self.term, self._tells, self._beat = "", False, 0.0
+        self.former = store.end_lives(node)      # what former lives of this node were granted
+        self.outs: dict[str, tuple[int, int]] = {}  # by budget: its period, and the most that was heard to be out in all
         self.unwritten = 0
         self._said = (0, -SAY_EVERY)  # unwritten ones that the log tells of, and when it last did
         self._asked: set[tuple[str, int]] = set()
@@ -372,11 +376,16 @@
                 (asks if wanted > 0 else returns).append(
                     Ask(account.budget.name, account.budget.most, account.spent.begin, abs(wanted), account.part.used))
         behind = self.upto < self.last
-        self._ships = behind and (not (asks or returns) or not self._ships)  # in turn, so that neither starves the other
-        if (asks or returns) and not self._ships:
+        beat = self._tells or now - self._beat >= BEAT_S and any(
+            isinstance(a.part, Lease) and a.part.leased for a in self.keeper.accounts.values())
+        leases = bool(asks or returns or beat)
+        self._ships = behind and (not leases or not self._ships)  # in turn, so that neither starves the other
+        if leases and not self._ships:
+            self._beat = now
             for back in returns:  # before they are told: if that gets lost they are wasted, and never granted twice
                 self.keeper.accounts[back.budget].part.returned(back.wanted)
-            self._request("/v1/lease", _encode(Asks(self.node, self.life, asks, returns)),
+            self._request("/v1/lease", _encode(Asks(self.node, self.life, asks, returns, self.term, self._tells,
+                                                    self._holds() if self._tells else [])),
                           lambda s, b: self._granted(asks, s, b))
         elif behind:
             for ask in asks:
@@ -393,7 +402,10 @@
         self._request("/v1/entries", _encode(Shipment(self.node, after, rows)), self._shipped)
 
     def _granted(self, asks: list[Ask], status: int, body: bytes) -> None:
-        grants = {g.budget: g for g in _grants(body)["grants"]} if status == 200 else {}
+        reply = _reply(body) if status == 200 else Reply()
+        if reply.term:
+            self.term, self._tells = reply.term, reply.say == "tell"
+        grants = {g.budget: g for g in reply.grants}
         for ask in asks:
             account, grant = self.keeper.accounts.get(ask.budget), grants.get(ask.budget)
             if account is None or not isinstance(account.part, Lease):
@@ -402,6 +414,25 @@
                 account.part.unanswered()
             else:
                 account.part.granted(grant.granted, grant.left, self.reactor.seconds())
+                self._keep(account, grant)
+
+    def _keep(self, account: Account, grant: Grant) -> None:
+        """What was granted, for the node's next life and for a ledger that has forgotten it."""
+        budget, begin, part = account.budget.name, grant.begin, account.part
+        known = self.outs.get(budget, (begin, 0))
+        self.outs[budget] = begin, max(grant.out, known[1] if known[0] == begin else 0)
+        row = budget, begin, self.node, self.life, part.leased, part.used, False
+        self.lane.put(Kind.LEARNED, lambda store: store.keep_leases([row]), name=f"lease {budget}")
+
+    def _holds(self) -> list[Hold]:
+        """What this life and former ones were granted."""
+        holds = [Hold(budget, begin, life, leased) for budget, begin, _, life, leased, _, _ in self.former]
+        for account in self.keeper.accounts.values():
+            if isinstance(account.part, Lease) and account.part.leased:
+                name, begin = account.budget.name, account.spent.begin
+                out = self.outs.get(name, (0, 0))
+                holds.append(Hold(name, begin, self.life, account.part.leased, out[1] if out[0] == begin else 0))
+        return holds
 
     def _shipped(self, status: int, body: bytes) -> None:
         if status in (200, 409):  # 409: the service's file was restored from an older copy, so they go again from there
--- a/aniserudder/ledger/service.py
+++ b/aniserudder/ledger/service.py
@@ -1,20 +1,24 @@
 """The ledger service: takes entries from all nodes and leads their leases. HTTP on loopback, one process.
 
-``POST /v1/lease``: ``{"node", "life", "asks": [{"budget", "most", "begin", "wanted", "used"}], "returns": [...]}`` is answered with grants.
+``POST /v1/lease``: ``{"node", "life", "term", "asks": [{"budget", "most", "begin", "wanted", "used"}], "returns": [...]}`` is answered with grants
+and the ledger's term. A node that names another term is told to tell first what it holds (``say: tell``); while a term is young, nothing
+is granted yet (``say: wait``): ``recovery/gather.py``.
 A grant is on disk before it is told; the file is written by a lane of its own, so that a slow disk delays no other answer. ``POST /v1/entries``: a ``Shipment``, answered with how far its node's entries are here.
 """
 from __future__ import annotations
 
+import os
 from collections.abc import Callable
 
 import msgspec
 from twisted.internet.interfaces import IListeningPort, IReactorTCP
 
 from ..durable import Inline, Kind, Lane
-from ..tenants.shares import Grantor, Held
+from ..recovery.gather import Gathering, Phase, Said, Term
+from ..tenants.shares import Grantor
 from ..wire.server import Bounds, Exchange, ServerFactory
 from .entries import Shipment
-from .store import Missing, Store
+from .store import Flushed, LeaseRow, Missing, Store
 
 
 class Ask(msgspec.Struct):
@@ -26,11 +30,24 @@
     used: int
 
 
+class Hold(msgspec.Struct):
+    """What one life of a node was granted of one budget, and what it has heard to be out of it in all."""
+    budget: str
+    begin: int
+    life: str
+    leased: int
+    out: int = 0
+
+
 class Asks(msgspec.Struct):
+    """``term``: as last heard. ``tells``: ``holds`` is all that the node was granted, in this life and in former ones that it knows of."""
     node: str
     life: str
     asks: list[Ask] = []
     returns: list[Ask] = []
+    term: str = ""
+    tells: bool = False
+    holds: list[Hold] = []
 
 
 class Grant(msgspec.Struct):
@@ -38,6 +55,14 @@
     begin: int
     granted: int
     left: int
+    out: int = 0
+
+
+class Reply(msgspec.Struct):
+    """``say``: "tell", "wait" or empty."""
+    grants: list[Grant] = []
+    term: str = ""
+    say: str = ""
 
 
 _asks, _shipment = msgspec.json.Decoder(Asks).decode, msgspec.json.Decoder(Shipment).decode
@@ -49,24 +74,26 @@
 
     Args:
         lane: writes ``store``, which nobody else may touch while it does.
+        nonce: tells this start apart from others of copies of the file.
+
+    Raises:
+        LedgerFull: its term could not be written.
     """
 
     def __init__(self, reactor: IReactorTCP, store: Store, log: Callable[..., None],
-                 lane: Lane | Inline | None = None) -> None:
+                 lane: Lane | Inline | None = None, nonce: str = "") -> None:
         self.reactor, self.store, self.log = reactor, store, log
         self.lane = lane or Inline(store.group)
         self.grantors: dict[str, tuple[int, Grantor]] = {}
-        for budget, begin, node, life, leased, used, closed in store.leases():
+        for budget, begin, node, life, leased, used, over in store.leases():
             known = self.grantors.get(budget)
             if known and known[0] > begin:
                 continue  # of a period that was over when its successor could not be written
             if known is None or known[0] < begin:
                 known = self.grantors[budget] = begin, Grantor(0)
-            grantor = known[1]
-            if node:
-                grantor.held[node] = Held(leased, used, life)
-            else:
-                grantor.closed = closed
+            known[1].load(node, life, leased, used, over)
+        holders = frozenset(node for _, grantor in self.grantors.values() for node, held in grantor.held.items() if held.leased)
+        self.gathering = Gathering(Term(store.new_term(), nonce or os.urandom(4).hex()), holders, self._now())
         self.factory = ServerFactory(reactor, Bounds(16_384, 8_388_608, 10, 60, 8_388_608), self._asked)
         self._port: IListeningPort | None = None
 
@@ -82,10 +109,25 @@
         self.factory.stop()
         self.lane.close(self.store.close)
 
-    def lease(self, asks: Asks, now: float, told: Callable[[list[Grant], Exception | None], None]) -> None:
-        """Answers asks; what it grants is written before ``told`` hears of it. What could not be written, or was not in
-        time, is taken back: nobody was told of it."""
-        rows, dropped, grants = [], [], []
+    def lease(self, asks: Asks, now: float, told: Callable[[Reply, Exception | None], None]) -> None:
+        """Answers asks; what it grants is written, and flushed, before ``told`` hears of it. What could not be written, or was not
+        in time, is taken back: nobody was told of it.
+
+        Raises:
+            ValueError: the term that it names is none.
+        """
+        rows, dropped, grants, before = [], [], [], self.gathering.phase
+        said = self.gathering.asks(asks.node, Term.read(asks.term), asks.tells, self._now())
+        if said is Said.OVERTAKEN:
+            return self._overtaken(asks, told)
+        if before is Phase.GATHERING and self.gathering.phase is Phase.LEADING:
+            self.log("ledger leads", level="info", reason=f"term {self.gathering.term}: {len(self.gathering.told)} nodes have told, "
+                     f"{len(self.gathering.known - self.gathering.told)} known ones have not")
+        if said is Said.TELL:
+            return told(Reply(term=str(self.gathering.term), say="tell"), None)
+        if asks.tells:
+            rows += self._take_up(asks)
+            said = self.gathering.asks(asks.node, self.gathering.term, False, self._now())
         for ask in asks.returns:
             begin, grantor = self._grantor(ask.budget)
             if begin == ask.begin:
@@ -97,12 +139,14 @@
                 begin, grantor = ask.begin, Grantor(ask.most)
                 self.grantors[ask.budget] = begin, grantor
                 dropped.append(ask.budget)
+            elif said is Said.WAIT:
+                continue
             elif ask.begin < begin:  # a node whose clock lags, or stepped back: that period is over
                 grants.append(Grant(ask.budget, ask.begin, 0, 0))
                 continue
             grantor.most = ask.most
             granted, left = grantor.ask(asks.node, asks.life, ask.wanted, ask.used, now)
-            grants.append(Grant(ask.budget, begin, granted, left))
+            grants.append(Grant(ask.budget, begin, granted, left, grantor.out))
             rows += self._rows(ask.budget, begin, grantor, asks.node)
 
         def written(_: None, problem: Exception | None) -> None:
@@ -111,24 +155,58 @@
                     begin, grantor = self._grantor(grant.budget)
                     if begin == grant.begin:
                         grantor.take_back(asks.node, asks.life, grant.granted)
-            told(grants, problem)
-        self.lane.put(Kind.LEASES, lambda store: store.keep_leases(rows, dropped), written)
+            told(Reply(grants, str(self.gathering.term), "wait" if said is Said.WAIT else ""), problem)
+        if rows or dropped:
+            self.lane.put(Kind.LEASES, Flushed(lambda store: store.keep_leases(rows, dropped)), written)
+        else:
+            written(None, None)
+
+    def _take_up(self, asks: Asks) -> list[LeaseRow]:
+        """What a node proves to hold. Returns what is to be written of it."""
+        rows = []
+        for hold in asks.holds:
+            begin, grantor = self._grantor(hold.budget)
+            if hold.begin > begin:  # granted in a period that this file has not seen
+                begin, grantor = hold.begin, Grantor(grantor.most)
+                self.grantors[hold.budget] = begin, grantor
+            elif hold.begin < begin:
+                continue
+            more = grantor.prove(asks.node, hold.life, hold.leased, asks.life)
+            grantor.heard_out(hold.out)
+            if more:
+                self.log("ledger was old", level="warning", reason=f"{asks.node} holds {more} more of {hold.budget} than the file says")
+                self.gathering.proven_old(self._now())
+            rows += self._rows(hold.budget, begin, grantor, asks.node)
+        return rows
+
+    def _overtaken(self, asks: Asks, told: Callable[[Reply, Exception | None], None]) -> None:
+        """A node has heard of a term that this file does not know: it is an old copy, or there are two ledgers."""
+        heard = Term.read(asks.term)
+        self.log("ledger was old", level="warning", reason=f"{asks.node} has heard of term {heard}, this one is {self.gathering.term}")
+        for _, grantor in self.grantors.values():
+            grantor.rebase()
+        self.gathering = self.gathering.overtaken(heard, os.urandom(4).hex(), self._now())
+        reply = Reply(term=str(self.gathering.term), say="tell")
+        self.lane.put(Kind.LEASES, Flushed(lambda store: store.new_term(heard.number)), lambda _, problem: told(reply, problem))
+
+    def _now(self) -> int:
+        return round(self.reactor.seconds() * 1e6)
 
     def _grantor(self, budget: str) -> tuple[int, Grantor]:
         return self.grantors.setdefault(budget, (0, Grantor(0)))
 
     @staticmethod
-    def _rows(budget: str, begin: int, grantor: Grantor, node: str) -> list[tuple[str, int, str, str, int, int, int]]:
-        mine = grantor.held.get(node, Held())
-        return [(budget, begin, node, mine.life, mine.leased, mine.used, 0),
-                (budget, begin, "", "", 0, 0, grantor.closed)]
+    def _rows(budget: str, begin: int, grantor: Grantor, node: str) -> list[LeaseRow]:
+        rows = [(budget, begin, node, life, leased, leased, True) for (of, life), leased in grantor.ended.items() if of == node]
+        mine = grantor.held.get(node)
+        return [*rows, (budget, begin, node, mine.life, mine.leased, mine.used, False)] if mine else rows
 
     def _asked(self, exchange: Exchange) -> None:
         try:
             match exchange.path:
                 case "/v1/lease":
                     self.lease(_asks(bytes(exchange.body)), self.reactor.seconds(),
-                               lambda grants, problem: self._answer(exchange, {"grants": grants}, problem))
+                               lambda reply, problem: self._answer(exchange, reply, problem))
                 case "/v1/entries":
                     sent = _shipment(bytes(exchange.body))
                     rows = [(r.number, bytes(r.body)) for r in sent.rows]
@@ -139,7 +217,7 @@
         except (msgspec.DecodeError, ValueError) as wrong:
             exchange.reply(400, _encode({"error": str(wrong)[:300]}))
 
-    def _answer(self, exchange: Exchange, said: dict[str, object], problem: Exception | None) -> None:
+    def _answer(self, exchange: Exchange, said: Reply | dict[str, int], problem: Exception | None) -> None:
         match problem:
             case None:
                 exchange.reply(200, _encode(said))
--- a/aniserudder/ledger/store.py
+++ b/aniserudder/ledger/store.py
@@ -35,12 +35,25 @@
 CREATE TABLE folded (at INTEGER NOT NULL, tenant TEXT NOT NULL, type TEXT NOT NULL, mark TEXT NOT NULL, tries INTEGER NOT NULL,
   figures TEXT NOT NULL, unconfirmed INTEGER NOT NULL, PRIMARY KEY (tenant, type, mark, at)) WITHOUT ROWID;
 """
+# Of lives of nodes that are over: files of before have all of them in one row of ``lease`` without a node.
+LIVES = """CREATE TABLE IF NOT EXISTS lives (budget TEXT NOT NULL, begin INTEGER NOT NULL, node TEXT NOT NULL, life TEXT NOT NULL,
+  leased INTEGER NOT NULL, PRIMARY KEY (budget, node, life)) WITHOUT ROWID"""
+LeaseRow = tuple[str, int, str, str, int, int, bool]  # budget, begin, node, life, leased, used, whether the life is over
 
 
 class LedgerBroken(Exception):
     """A ledger that cannot be opened or does not add up."""
 
 
+@dataclass(slots=True, frozen=True)
+class Flushed:
+    """A work of a group that has to survive a loss of power, whatever the ledger's durability."""
+    work: Callable[[Store], Any]
+
+    def __call__(self, store: Store) -> Any:
+        return self.work(store)
+
+
 class Missing(Exception):
     """Shipped entries do not follow what is here, which is ``upto``."""
 
@@ -77,13 +90,14 @@
 
     def __init__(self, path: str | Path, power: bool = False, files: Files = Files()) -> None:
         self.path = Path(path)
-        self._deep = False
+        self._deep, self._power = False, power
         try:
             self._db = files.database(self.path)
             self._db.execute("PRAGMA journal_mode=WAL")
             self._db.execute(f"PRAGMA synchronous={'FULL' if power else 'NORMAL'}")
             if not self._db.execute("SELECT count(*) FROM sqlite_master").fetchone()[0]:
                 self._db.executescript(f"BEGIN;{SCHEMA}INSERT INTO meta VALUES ('form', '{FORM}'), ('base', '');COMMIT;")
+            self._db.execute(LIVES)
             found = self._meta("form")
         except (sqlite3.Error, OSError) as problem:
             raise LedgerBroken(f"{path}: {problem}") from None
@@ -143,8 +157,9 @@
         return self._last
 
     @contextmanager
-    def together(self) -> Iterator[sqlite3.Connection]:
-        """Writes in one transaction, with one flush; inside another one they are part of that.
+    def together(self, flushed: bool = False) -> Iterator[sqlite3.Connection]:
+        """Writes in one transaction; inside another one they are part of that. ``flushed``: it survives a loss of power, also
+        where entries need not.
 
         Raises:
             LedgerFull: it could not be written; nothing of it was.
@@ -154,6 +169,8 @@
             return
         before, self._deep = (self._last, self._sum), True
         try:
+            if flushed and not self._power:
+                self._db.execute("PRAGMA synchronous=FULL")
             self._db.execute("BEGIN IMMEDIATE")
             yield self._db
             self._db.execute("COMMIT")
@@ -169,13 +186,15 @@
             raise
         finally:
             self._deep = False
+            if flushed and not self._power and not self._db.in_transaction:
+                self._db.execute("PRAGMA synchronous=NORMAL")
 
     def group(self, works: list[Callable[[Store], Any]]) -> list[tuple[Any, Exception | None]]:
         """Carries out what several asked for in one transaction: what cannot be used is told of that one alone, what the
-        disk refuses is told to all. A ``durable.Lane`` runs it."""
+        disk refuses is told to all. A ``durable.Lane`` runs it. One work that is ``flushed`` has all of them flushed."""
         said: list[tuple[Any, Exception | None]] = []
         try:
-            with self.together():
+            with self.together(any(isinstance(work, Flushed) for work in works)):
                 for work in works:
                     try:
                         said.append((work(self), None))
@@ -299,11 +318,34 @@
 
     # Leases, led for all nodes by the ledger service.
 
-    def leases(self) -> list[tuple[str, int, str, str, int, int, int]]:
-        """Rows (budget, begin, node, life, leased, used, closed)."""
-        return self._db.execute("SELECT budget, begin, node, life, leased, used, closed FROM lease").fetchall()
+    def leases(self) -> list[LeaseRow]:
+        """All leases. Of the lives that are over, files of older versions have one row for all of them, without a node."""
+        rows = self._db.execute("SELECT budget, begin, node, life, leased + closed, used, node = '' FROM lease "
+                                "UNION ALL SELECT budget, begin, node, life, leased, leased, 1 FROM lives").fetchall()
+        return [(budget, begin, node, life, leased, used, bool(over)) for budget, begin, node, life, leased, used, over in rows]
 
-    def keep_leases(self, rows: list[tuple[str, int, str, str, int, int, int]], dropped: list[str] = ()) -> None:
+    def new_term(self, at_least: int = 0) -> int:
+        """The number of a term that this file has not known, on the disk before it is told.
+
+        Raises:
+            LedgerFull: it could not be written.
+        """
+        number = max(int(self._meta("term") or 0), at_least) + 1
+        with self.together(flushed=True) as db:
+            db.execute("INSERT OR REPLACE INTO meta VALUES ('term', ?)", (str(number),))
+        return number
+
+    def end_lives(self, node: str) -> list[LeaseRow]:
+        """A node's own file at its start: what its former lives were granted in the newest period of each budget that it knows."""
+        rows, newest = self.leases(), {}
+        for budget, begin, *_ in rows:
+            newest[budget] = max(begin, newest.get(budget, 0))
+        kept = [(budget, begin, node, life, leased, used, True) for budget, begin, _, life, leased, used, _ in rows
+                if begin == newest[budget] and life]
+        self.keep_leases(kept, list(newest))
+        return kept
+
+    def keep_leases(self, rows: list[LeaseRow], dropped: list[str] = ()) -> None:
         """Writes leases before they are told: a grant that was forgotten would be granted twice.
 
         Raises:
@@ -312,7 +354,9 @@
         with self.together() as db:
             for budget in dropped:
                 db.execute("DELETE FROM lease WHERE budget = ?", (budget,))
-            db.executemany("INSERT OR REPLACE INTO lease VALUES (?, ?, ?, ?, ?, ?, ?)", rows)
+                db.execute("DELETE FROM lives WHERE budget = ?", (budget,))
+            db.executemany("INSERT OR REPLACE INTO lease VALUES (?, ?, ?, ?, ?, ?, 0)", [r[:6] for r in rows if not r[6]])
+            db.executemany("INSERT OR REPLACE INTO lives VALUES (?, ?, ?, ?, ?)", [r[:5] for r in rows if r[6]])
 
     def _meta(self, key: str) -> str:
         row = self._db.execute("SELECT value FROM meta WHERE key = ?", (key,)).fetchone()
--- a/aniserudder/tenants/shares.py
+++ b/aniserudder/tenants/shares.py
@@ -124,6 +124,11 @@
         self.wanted, self.asked = max(1, target - self.room), now
         return self.wanted
 
+    @property
+    def leased(self) -> int:
+        """What the ledger granted of this period and has not got back."""
+        return max(0, self.room + self.used)
+
     def returned(self, amount: int) -> None:
         """So much goes back to the ledger."""
         self.room -= amount
@@ -160,24 +165,69 @@
 
     ``most`` is never exceeded by what is leased in all: with leases of L(i) and overdrafts of d at N nodes, all spend at
     most sum L(i) + N d <= most + N d, plus overruns of reservations that were estimated too low.
+
+    What was leased before this term of the ledger is known from its file and from what holders prove, ``old``; what others have
+    heard to be out in all, ``floor``, may be more than that. What this term leases, less what it gets back, is ``fresh``.
+    So ``out`` is max(old, floor) + fresh, and never less than what nodes hold of which anybody knows.
     """
     most: int
-    held: dict[str, Held] = field(default_factory=dict)
+    held: dict[str, Held] = field(default_factory=dict)          # the newest life of each node
+    ended: dict[tuple[str, str], int] = field(default_factory=dict)  # leased in lives that are over, and taken as used
     seen: dict[str, float] = field(default_factory=dict)
-    closed: int = 0          # leased in lives that have ended, and taken as used
+    old: int = 0
+    floor: int = 0
+    fresh: int = 0
 
     @property
     def out(self) -> int:
-        return self.closed + sum(h.leased for h in self.held.values())
+        return max(self.old, min(self.floor, self.most)) + self.fresh
+
+    def load(self, node: str, life: str, leased: int, used: int, over: bool) -> None:
+        """What the file says of one life."""
+        if over:
+            self.ended[node, life] = leased
+        else:
+            self.held[node] = Held(leased, used, life)
+        self.old += leased
+
+    def prove(self, node: str, life: str, leased: int, now_life: str) -> int:
+        """What a node says that one of its lives was granted. Returns by how much that is more than was known."""
+        mine = self.held.get(node)
+        if life == now_life and (mine is None or mine.life != life):
+            self._new_life(node, life)
+            mine = self.held[node]
+        if mine is not None and mine.life == life:
+            more = max(0, leased - mine.leased - self.ended.get((node, life), 0))
+            mine.leased += more
+        else:
+            more = max(0, leased - self.ended.get((node, life), 0))
+            self.ended[node, life] = self.ended.get((node, life), 0) + more
+        self.old += more
+        return more
+
+    def heard_out(self, out: int) -> None:
+        """A node was told, before this term, that so much was out in all."""
+        self.floor = max(self.floor, out)
+
+    def rebase(self) -> None:
+        """A new term begins in which what the last one leased is something of before."""
+        self.floor = max(self.old, self.floor) + self.fresh
+        self.old, self.fresh = self.old + self.fresh, 0
+
+    def _new_life(self, node: str, life: str) -> None:
+        """What the last life took of its lease nobody knows: it counts as used."""
+        mine = self.held.get(node)
+        if mine is not None:
+            self.ended[node, mine.life] = self.ended.get((node, mine.life), 0) + mine.leased
+        self.held[node] = Held(life=life)
 
     def ask(self, node: str, life: str, wanted: int, used: int, now: float) -> tuple[int, int]:
         """Grants what it may. Returns the grant and what is left after it."""
         self.seen[node] = now
         mine = self.held.get(node)
         if mine is None or mine.life != life:
-            if mine is not None:  # what the last life took of its lease nobody knows: it counts as used
-                self.closed += mine.leased
-            mine = self.held[node] = Held(life=life)
+            self._new_life(node, life)
+            mine = self.held[node]
         mine.used = max(mine.used, used)
         left = self.most - self.out
         sharing = sum(now - at < SEEN_FOR for at in self.seen.values())
@@ -186,6 +236,7 @@
         fair = max(round(LEASE_PART * left * part), round(LEAST_PART * self.most), 1)
         grant = max(0, min(wanted, fair, left))
         mine.leased += grant
+        self.fresh += grant
         return grant, self.most - self.out
 
     def take_back(self, node: str, life: str, amount: int) -> None:
@@ -193,9 +244,14 @@
         mine = self.held.get(node)
         if mine and mine.life == life:
             mine.leased -= amount
+        elif (node, life) in self.ended:
+            self.ended[node, life] -= amount
+        self.fresh -= amount
 
     def give_back(self, node: str, life: str, amount: int) -> None:
         """A node that stops in order returns what it has not taken."""
         mine = self.held.get(node)
         if mine and mine.life == life:
-            mine.leased -= max(0, min(amount, mine.leased - mine.used))
+            back = max(0, min(amount, mine.leased - mine.used))
+            mine.leased -= back
+            self.fresh -= back
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -192,7 +192,8 @@
     asks = [Ask("b", 1000, 5, 400, 0)]
     def lease(service, asks, now):
         said = []
-        service.lease(asks, now, lambda grants, problem: said.extend(grants))
+        service.gathering.until, asks.term, asks.tells = 0, str(service.gathering.term), True  # as if heard, and all others too
+        service.lease(asks, now, lambda reply, problem: said.extend(reply.grants))
         return said[0]
     first = lease(one, Asks("n1", "x", asks), 0.0)
     one.store.close()
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,231 @@
+"""Recovery: a ledger whose file is old, searched for double grants over all short histories; and processes that lose power."""
+from copy import deepcopy
+
+import pytest
+from hypothesis import given, settings as examples, strategies as st
+from twisted.internet.task import Clock
+
+from aniserudder.durable import Inline
+from aniserudder.ledger.service import Ask, Asks, Hold, LedgerService
+from aniserudder.recovery.gather import OLD_WINDOW, WINDOW, Gathering, Phase, Said, Term
+from aniserudder.tenants.shares import Grantor
+
+S = 1_000_000
+MOST = 8
+
+
+class Paper:
+    """A ledger file in memory, as ``Store`` keeps it, of which copies can be made."""
+
+    def __init__(self):
+        self.rows, self.term = {}, 0
+
+    def leases(self):
+        return list(self.rows.values())
+
+    def new_term(self, at_least=0):
+        self.term = max(self.term, at_least) + 1
+        return self.term
+
+    def keep_leases(self, rows, dropped=()):
+        self.rows = {k: r for k, r in self.rows.items() if r[0] not in dropped}
+        for r in rows:
+            self.rows[(r[0], r[2], r[3] if r[6] else "", r[6])] = r
+
+
+class FakeNode:
+    def __init__(self, name):
+        self.name, self.lives, self.former, self.asleep = name, 0, [], False
+        self.start()
+
+    def start(self, disk=True):
+        """Begins a life; what the last one was granted is on its disk, or lost with it."""
+        if self.lives:
+            self.former = [*self.former, (self.life, self.leased)] if disk else []
+        self.lives += 1
+        self.life, self.leased, self.term, self.tells, self.out = f"{self.name}{self.lives}", 0, "", False, 0
+
+    def ask(self, ledger, wanted, lost=False):
+        holds = [Hold("b", 1, life, n) for life, n in self.former] + [Hold("b", 1, self.life, self.leased, self.out)]
+        said = []
+        ledger.lease(Asks(self.name, self.life, [Ask("b", MOST, 1, wanted, self.leased)], [], self.term, self.tells,
+                          holds if self.tells else []), ledger.reactor.seconds(), lambda reply, problem: said.append(reply))
+        if lost:
+            return 0
+        self.term, self.tells = said[0].term, said[0].say == "tell"
+        got = sum(g.granted for g in said[0].grants)
+        self.leased += got
+        self.out = max([self.out, *(g.out for g in said[0].grants)])
+        return got
+
+
+class World:
+    """Two nodes and a ledger, whose file can go back to what it was."""
+
+    def __init__(self):
+        self.clock, self.paper, self.starts = Clock(), Paper(), 0
+        self.nodes = [FakeNode("x"), FakeNode("y")]
+        self.granted = {}     # by life, what nodes were told
+        self.copy, self.before = deepcopy(self.paper), {}
+        self.restored = self.disks = 0
+        self.power()
+
+    def power(self):
+        self.starts += 1
+        self.ledger = LedgerService(self.clock, self.paper, lambda *a, **k: None,
+                                    Inline(lambda works: [(w(self.paper), None) for w in works]), f"n{self.starts}")
+
+    def do(self, step):
+        what, *more = step
+        if what == "ask":
+            node = self.nodes[more[0]]
+            if not node.asleep:
+                if node.term != str(self.ledger.gathering.term) or node.tells:
+                    node.ask(self.ledger, 0)  # is told to tell, and tells with its next ask
+                got = node.ask(self.ledger, 5, lost=more[1])
+                self.granted[node.life] = self.granted.get(node.life, 0) + got
+        elif what == "copy":
+            self.copy, self.before = deepcopy(self.paper), dict(self.granted)
+        elif what == "restart":
+            self.power()
+        elif what == "restore":
+            self.paper, self.restored = deepcopy(self.copy), self.restored + 1
+            self.power()
+        elif what == "kill":
+            self.nodes[more[0]].start(disk=more[1])
+            self.disks += not more[1]
+        elif what == "sleep":
+            self.nodes[0].asleep = not self.nodes[0].asleep
+        elif what == "pass":
+            self.all_tell()  # nodes ask ten times a second
+            self.clock.advance(more[0])
+
+    def all_tell(self):
+        """Everyone that is awake is heard."""
+        for _ in range(3):
+            for node in self.nodes:
+                if not node.asleep:
+                    node.ask(self.ledger, 0)
+
+    def mark(self):
+        """What tells two histories' ends apart."""
+        g = self.ledger.gathering
+        of = lambda f: tuple(sorted(f.items()))
+        _, grantor = self.ledger.grantors.get("b", (0, Grantor(0)))
+        return (of(self.granted), of(self.paper.rows), of(self.copy.rows), self.copy.term, self.paper.term, grantor.old, grantor.floor,
+                grantor.fresh, g.phase, tuple(sorted(g.told)), g.old, g.until - round(self.clock.seconds() * S),
+                tuple((n.lives, n.leased, n.term == str(g.term), n.tells, n.asleep, tuple(n.former), n.out) for n in self.nodes))
+
+
+def search(steps, depth, judge):
+    """All histories of so many steps, ends that are alike gone on from once; returns how many ends were judged."""
+    ends, seen = [()], set()
+    judged = 0
+    for _ in range(depth):
+        fresh = []
+        for past in ends:
+            for step in steps:
+                world = World()
+                for one in (*past, step):
+                    world.do(one)
+                judge(world, (*past, step))
+                judged += 1
+                mark = world.mark()
+                if mark not in seen:
+                    seen.add(mark)
+                    fresh.append((*past, step))
+        ends = fresh
+    return judged
+
+
+ASKS = [("ask", 0, False), ("ask", 1, False), ("ask", 0, True)]
+
+
+def test_no_history_without_a_lost_disk_grants_twice():
+    """Restarts of the ledger and of nodes, lost answers, time: what nodes were told in all never passes the budget."""
+    def judge(world, past):
+        assert sum(world.granted.values()) <= MOST, past
+    count = search([*ASKS, ("restart",), ("kill", 0, True), ("kill", 1, False), ("pass", 1.1)], 6, judge)
+    assert count > 5_000
+
+
+def test_no_history_with_an_old_copy_grants_twice_while_all_are_heard():
+    """The ledger's file goes back to any earlier state; nodes are heard before its window is over."""
+    def judge(world, past):
+        assert sum(world.granted.values()) <= MOST, past
+    count = search([("ask", 0, False), ("ask", 1, False), ("copy",), ("restore",), ("kill", 0, True), ("pass", 3.1)], 7, judge)
+    assert count > 5_000
+
+
+def test_one_that_sleeps_through_it_costs_what_it_alone_was_granted():
+    """A node that is stopped while an old copy gathers, or whose disk went with it: the budget is passed by no more than what such
+    nodes were granted after the copy was made."""
+    worst = 0
+
+    def judge(world, past):
+        nonlocal worst
+        over = sum(world.granted.values()) - MOST
+        unheard = sum(n - world.before.get(life, 0) for life, n in world.granted.items() if life.startswith("x"))
+        assert over <= unheard, past
+        worst = max(worst, over)
+    search([("ask", 0, False), ("ask", 1, False), ("sleep",), ("restore",), ("kill", 0, False), ("pass", 3.1)], 7, judge)
+    assert worst > 0  # the bound is not empty: such a node's lease is what nobody else can know
+
+
+@given(st.lists(st.tuples(st.sampled_from(["ask", "prove", "out", "back", "undo", "rebase"]), st.sampled_from("xy"),
+                          st.integers(1, 3), st.integers(0, 900)), max_size=60))
+@examples(max_examples=200, deadline=None)
+def test_what_is_out_is_never_less_than_what_is_held(steps):
+    grantor = Grantor(1000)
+    for what, node, life, n in steps:
+        match what:
+            case "ask":
+                before = grantor.out
+                granted, left = grantor.ask(node, f"{life}", n, 0, 0.0)
+                assert not granted or before + granted <= 1000 and left == 1000 - grantor.out
+            case "prove":
+                grantor.prove(node, f"{life}", n, f"{life}")
+            case "out":
+                grantor.heard_out(n)
+            case "back":
+                grantor.give_back(node, f"{life}", n)
+            case "rebase":
+                grantor.rebase()
+        held = sum(h.leased for h in grantor.held.values()) + sum(grantor.ended.values())
+        assert grantor.out >= held == grantor.old + grantor.fresh
+
+
+def test_what_others_heard_covers_one_that_is_silent():
+    """A node that nobody can ask was granted 400; another that was granted something after it has heard of it."""
+    grantor = Grantor(1000)
+    grantor.load("x", "x1", 100, 0, False)  # as the old copy has it; the truth is 500
+    grantor.prove("y", "y1", 50, "y1")
+    grantor.heard_out(550)
+    assert grantor.ask("y", "y1", 1000, 0, 0.0) == (225, 225) and grantor.out == 775
+    grantor.prove("x", "x1", 500, "x1")     # it wakes up: nothing counts twice
+    assert grantor.out == 775
+    grantor.prove("x", "x1", 600, "x1")     # it holds even more
+    assert grantor.out == 875
+
+
+def test_a_term_gathers_and_leads():
+    g = Gathering(Term(3, "a"), frozenset("xy"), 0)
+    assert g.asks("x", Term(), False, 1) is Said.TELL and g.asks("x", Term(2, "z"), True, 1) is Said.TELL
+    assert g.asks("x", Term(3, "a"), False, 2) is Said.TELL  # it has the term, and has not told yet
+    assert g.asks("x", Term(3, "a"), True, 2) is Said.WAIT and g.asks("y", Term(3, "a"), True, 3) is Said.WAIT
+    assert g.asks("y", Term(3, "a"), False, WINDOW) is Said.GRANT
+    assert g.asks("x", Term(3, "b"), False, 4) is Said.OVERTAKEN and g.asks("x", Term(9, "b"), False, 4) is Said.OVERTAKEN
+    later = g.overtaken(Term(9, "b"), "c", 5)
+    assert later.term == Term(10, "c") and later.asks("x", Term(10, "c"), True, 6) is Said.WAIT
+    assert later.asks("y", Term(10, "c"), True, 7) is Said.WAIT  # others may hold what the file does not know
+    assert later.asks("y", Term(10, "c"), False, 5 + OLD_WINDOW) is Said.GRANT
+    alone = Gathering(Term(1, "a"), frozenset(), 0)
+    assert alone.asks("x", Term(1, "a"), True, 1) is Said.WAIT and alone.asks("x", Term(1, "a"), False, WINDOW) is Said.GRANT
+    alone.proven_old(WINDOW + 1)
+    assert alone.phase is Phase.GATHERING and alone.asks("x", Term(1, "a"), False, WINDOW + 2) is Said.WAIT
+
+
+@pytest.mark.parametrize("text", ["x", "7", "-1.a", "1" * 20 + ".a", "1." + "a" * 40])
+def test_what_is_no_term(text):
+    with pytest.raises(ValueError, match="no term"):
+        Term.read(text)
