Engines are asked since when they are up; a stopped node and the ledger's loss as tests

Change: a start asks each such engine for its status (`up_s`), spread over the fleet and at most twice (recovery/asks.py). The audit passes over a try whose client gave up while the node's process was stopped.

--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -19,6 +19,7 @@
 from ..ledger.books import Books, MeteredEngines, Rules
 from ..ledger.store import LedgerBroken, Store
 from ..messages import Messages
+from ..recovery.asks import Asks
 from ..recovery.ascent import Ascent, Bounds, Stage
 from ..recovery.trust import Limits, Policy
 from ..roster import follow
@@ -74,7 +75,8 @@
         self.router = Router(settings.decisions_settings(), seed, engines, reactor, recorder, self.log, settings.node,
                              stream_rules(settings.streams))
         self.follower = follow(self.router, self.pool.locate, settings.roster, reactor, self.log, self.ascent,
-                               keeping(settings, ground), self.writer.lane("lists"))
+                               keeping(settings, ground), self.writer.lane("lists"),
+                               Asks(settings.nodes, Random(f"{seed} asks")), self.pool.ask_up)
         self.messages = Messages(settings, self.router, reactor, self.log, boot, self.books,
                                  lambda: self.pool.open, self.ascent)
         self._rising: IDelayedCall | None = None
--- a/aniserudder/engines/pool.py
+++ b/aniserudder/engines/pool.py
@@ -216,6 +216,10 @@
             done(values is not None, values)
         self._ask(engine, "GET", codec.STATUS, b"", answered)
 
+    def ask_up(self, engine: str, done: Callable[[object], None]) -> None:
+        """Asks an engine for how many seconds it has been up; ``done`` gets what it says, or None."""
+        self._ask(engine, "GET", codec.STATUS, b"", lambda status, body: done((codec.report(status, body) or {}).get("up_s")))
+
     def ask_usage(self, engine: str, seq_id: str, ordinal: int, done: Callable[[bytes | None], None]) -> None:
         """Asks an engine what one attempt ran; ``done`` gets its answer's body, or None where there was none."""
         path = f"{codec.USAGE}?request_id={seq_id}&attempt={ordinal}"
--- a/aniserudder/recovery/ascent.py
+++ b/aniserudder/recovery/ascent.py
@@ -83,6 +83,12 @@
         self.cold_until = coldest
         self.look(now)
 
+    def engines_told(self, coldest: int, now: int) -> None:
+        """All engines that were asked have said themselves since when they are up."""
+        if not self.heard:
+            self.cold_until = min(self.cold_until, coldest)
+        self.look(now)
+
     def ledger_told(self, now: int) -> None:
         """The ledger has answered."""
         self.told = True
--- a/aniserudder/rehearsal/audit.py
+++ b/aniserudder/rehearsal/audit.py
@@ -290,6 +290,8 @@
                 continue
             if lost and one.away >= 0 and record.stopping(node, at) and lost[0]["at"] >= record.stopping(node, at):
                 exempt += 1  # it had gone by itself, and came back to a node that takes nobody in any more
+            elif not lost and gone and record.frozen(node, at, gone[0]["at"]):
+                exempt += 1  # its client gave up while the node's process was stopped
             elif lost and not record.died(node, at):
                 broke("the connection ended without a final answer", lost[0]["at"])
             elif not lost and not [e for e in gone if e["what"] == "left"] and not record.died(node, at):
--- a/aniserudder/rehearsal/day.py
+++ b/aniserudder/rehearsal/day.py
@@ -87,6 +87,7 @@
     rack: int | None = None
     size: Annotated[float, Field(gt=0)] = Field(2.0, description="of disk_slow: milliseconds of a flush")
     ledger: bool = Field(False, description="of disks, power and frozen processes: the ledger is struck too")
+    nodes: bool = Field(True, description="of power: nodes are struck")
     ledger_old_s: Seconds = Field(0, description="of power: the ledger's file comes back as it was so long before; 0: as it was")
     wall_off_s: float = Field(0, description="of power: by how much the wall clocks of those struck are wrong afterwards, either way")
     last: Literal["", "ledger", "lists"] = Field("", description="of power: that one is back two seconds after all others")
--- a/aniserudder/rehearsal/plan.py
+++ b/aniserudder/rehearsal/plan.py
@@ -85,7 +85,7 @@
             strike.zone = fault.zone or chance.choice(day.zones)
         elif fault.trouble in ON_NODES:
             there = [n for n, zone in nodes.items() if fault.zone in ("", zone)]
-            strike.nodes = sorted(chance.sample(there, _count(fault, len(there))))
+            strike.nodes = sorted(chance.sample(there, _count(fault, len(there)))) if fault.nodes else []
             if fault.trouble == "power_loss":
                 strike.engines = [e.name for e in engines if e.kind in fault.kinds and fault.zone in ("", e.zone)]
                 strike.back = {n: fault.seconds + chance.uniform(0, fault.spread_s)
--- a/aniserudder/roster/follow.py
+++ b/aniserudder/roster/follow.py
@@ -17,6 +17,7 @@
 from ..core.router import Router
 from ..durable import Ground, Inline, Kind, Lane
 from ..recovery.ascent import Ascent
+from ..recovery.asks import AGAIN, Asks
 from ..recovery.trust import Since, of_list
 from ..settings.schema import RosterSource, Row
 from ..wire.client import ClientConnection
@@ -36,13 +37,16 @@
         source: of the settings.
         log: of the node.
         ascent: told what is known of the engines.
+        asks: which engines are asked themselves, where the list on disk is all there is; with ``ask_up``, which asks one.
         keeping: who keeps the last list, and how much of it is believed at a start.
         lane: writes the last list, and looks at files.
     """
 
     def __init__(self, router: Router, locate: Callable[[str, str], None], source: RosterSource,
                  reactor: IReactorTCP, log: Callable[..., None], ascent: Ascent, keeping: cache.Keeping | None = None,
-                 lane: Lane | Inline | None = None) -> None:
+                 lane: Lane | Inline | None = None, asks: Asks | None = None,
+                 ask_up: Callable[[str, Callable[[object], None]], None] | None = None) -> None:
+        self.asks, self.ask_up = asks, ask_up
         self.ascent, self.keeping, self.lane = ascent, keeping or cache.Keeping("", Ground()), lane or Inline()
         self.router, self.locate, self.source, self.reactor, self.log = router, locate, source, reactor, log
         self.rows: dict[str, Row] = {}
@@ -82,6 +86,9 @@
             usable, cold = believed.usable, not believed.starts
             if usable:
                 self._take(news, keep=False, cold=cold)
+                if cold and self.asks and self.ask_up:
+                    for delay, engine in self.asks.plan(row.engine for row in news.rows if row.availability == "running"):
+                        self.reactor.callLater(delay / 1e6, self._ask_engine, engine)
             self.log("started from the last list" if usable else "last list not used", level="info",
                      reason=f"{len(news.rows)} engines, {'cold until confirmed, ' if cold else ''}{believed.reason}")
         self.ascent.read(usable, cold, self._now())
@@ -90,6 +97,22 @@
         if not self._stopped:
             self._timer = self.reactor.callLater(after_ms / 1000, self._ask)
 
+    def _ask_engine(self, engine: str) -> None:
+        """One that counts as cold because nobody has said otherwise: it knows itself since when it is up."""
+        row = self.rows.get(engine)
+        if self._stopped or row is None or not self.asks.due(engine):
+            return
+
+        def said(up_s: object) -> None:
+            started = self.asks.said(engine, up_s, self.router.now())
+            if started is not None and not self._stopped and engine in self.rows:
+                self.router.roster([replace(codec.told(self.rows[engine], self._offset), started_at=started)], False)
+                if not self.asks.open:
+                    self.ascent.engines_told(max(self.asks.confirmed.values()) + self.ascent.bounds.warm, self._now())
+            elif self.asks.open.get(engine):
+                self.reactor.callLater(AGAIN / 1e6, self._ask_engine, engine)
+        self.ask_up(engine, said)
+
     def _take(self, news: codec.News, keep: bool = True, cold: bool = False) -> None:
         """``cold``: every engine counts as started now, whatever the list says."""
         self.heard_at = self.reactor.seconds()
@@ -107,6 +130,8 @@
         if not cold and (keep or not self.source.last_list):
             started = max((r.started_at for r in self.rows.values()), default=0.0)
             warm = round((started + self._offset) * 1e6) + self.ascent.bounds.warm if started else 0
+            if self.asks:
+                self.asks.list_heard()
             self.ascent.list_heard(len(self.rows), min(warm, self._now() + self.ascent.bounds.warm), self._now())
         if keep and self.source.last_list:
             cache.keep(self.lane, self.keeping, Path(self.source.last_list), news.epoch, self.rows, self._kept)
@@ -234,7 +259,8 @@
 
 def follow(router: Router, locate: Callable[[str, str], None], source: RosterSource, reactor: IReactorTCP,
            log: Callable[..., None], ascent: Ascent, keeping: cache.Keeping | None = None,
-           lane: Lane | Inline | None = None) -> Follower:
+           lane: Lane | Inline | None = None,
+           asks: Asks | None = None, ask_up: Callable[[str, Callable[[object], None]], None] | None = None) -> Follower:
     """The follower that fits the settings."""
     kind = Streamed if source.server else Watched if source.file else Fixed
-    return kind(router, locate, source, reactor, log, ascent, keeping, lane)
+    return kind(router, locate, source, reactor, log, ascent, keeping, lane, asks, ask_up)
--- a/aniserudder/standins/engine.py
+++ b/aniserudder/standins/engine.py
@@ -233,7 +233,8 @@
             return self._take(exchange)
         if exchange.path == "/v1/status":
             return exchange.reply(200, _encode({"inflight": len(self.running) + len(self.waiting) + len(self.held),
-                                                "x0": self._memory_used() / self.spec.memory}))
+                                                "x0": self._memory_used() / self.spec.memory,
+                                                "up_s": round(self.wall() - self.started_at, 3)}))
         if exchange.path.startswith("/v1/usage?"):
             return self._tell_usage(exchange)
         if exchange.path != "/v1/chat/completions":
