A start on a full disk: the ledger's service says so, a node starts and refuses

Cause: Books.__init__ wrote what former lives held (Store.end_lives) and LedgerService its term; either raised LedgerFull out of the constructor, a traceback in place of a line.

Measured: a test starts both over a stand-in's full disk: exit 2 with one line; the node answers 503 until there is room, then 200, and stops with 0.

--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -750,15 +750,15 @@
     from .. import logs
     from ..durable import AtOnce, Writer
     from ..ledger.service import LedgerService
-    from ..ledger.store import LedgerBroken, Store
+    from ..ledger.store import LedgerBroken, LedgerFull, Store
     try:
         ground, log = _ground(), logs.make("ledger")
         store = Store(path, durability == "power", ground.files)
         writer = AtOnce() if ground.at_once else Writer(reactor, log)
         service = LedgerService(reactor, store, log, writer.lane("ledger", store.group), wall=lambda: round(ground.wall() * 1e6))
         service.start(host, port)
-    except LedgerBroken as broken:
-        fail(str(broken))
+    except (LedgerBroken, LedgerFull) as broken:
+        fail(f"{path}: {broken}".replace(f"{path}: {path}: ", f"{path}: "))
     except CannotListenError as taken:
         fail(f"{host}:{port}: {taken.socketError.strerror}")
     reactor.run()
--- a/aniserudder/durable/files.py
+++ b/aniserudder/durable/files.py
@@ -75,8 +75,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Ground:
-    """What a process stands on: its disk, its wall clock in seconds since 1970, the machine's boot, and whether the reactor's thread itself writes
-    (a baseline to measure against)."""
+    """What a process stands on: its disk, its wall clock in seconds since 1970, the machine's boot, and whether the reactor's
+    thread itself writes (a baseline to measure against)."""
     files: Files = field(default_factory=Files)
     wall: Callable[[], float] = time.time
     boot: str = ""           # names the time since the machine last went dark; empty: the machine's own
--- a/aniserudder/ledger/books.py
+++ b/aniserudder/ledger/books.py
@@ -30,7 +30,7 @@
 from ..wire.client import ClientConnection
 from .entries import Ended, Entry, Row, Sent, Shipment, Taken, Told
 from .service import Ask, Asks, Grant, Hold, Reply
-from .store import Store
+from .store import LedgerFull, Store
 
 PROVEN = frozenset({Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT})  # nothing ran
 SHIP_MOST = 500       # entries in one shipment
@@ -176,7 +176,11 @@
         # A start tells the ledger at once what former lives were granted, and hears which term leads.
         self.term, self._tells, self._beat = "", bool(rules.service), 0.0
         self.on_term: Callable[[], None] = lambda: None
-        self.former = store.end_lives(node)      # what former lives of this node were granted
+        try:
+            self.former = store.end_lives(node)  # what former lives of this node were granted
+        except LedgerFull as full:               # it is told all the same; whoever comes is refused until the disk is well
+            self.former = [(*row[:6], True) for row in store.leases()]
+            log("ledger cannot be written", level="error", reason=str(full))
         self.outs: dict[str, tuple[int, int]] = {}  # by budget: its period, and the most that was heard to be out in all
         self.unwritten = 0
         self._said = (0, -SAY_EVERY)  # unwritten ones that the log tells of, and when it last did
--- a/aniserudder/ledger/service.py
+++ b/aniserudder/ledger/service.py
@@ -1,9 +1,10 @@
 """The ledger service: takes entries from all nodes and leads their leases. HTTP on loopback, one process.
 
-``POST /v1/lease``: ``{"node", "life", "term", "asks": [{"budget", "most", "begin", "wanted", "used"}], "returns": [...]}`` is answered with grants
-and the ledger's term. A node that names another term is told to tell first what it holds (``say: tell``); while a term is young, nothing
-is granted yet (``say: wait``): ``recovery/gather.py``.
-A grant is on disk before it is told; the file is written by a lane of its own, so that a slow disk delays no other answer. ``POST /v1/entries``: a ``Shipment``, answered with how far its node's entries are here.
+``POST /v1/lease``: ``{"node", "life", "term", "asks": [{"budget", "most", "begin", "wanted", "used"}], "returns": [...]}`` is
+answered with grants and the ledger's term. A node that names another term is told to tell first what it holds (``say: tell``);
+while a term is young, nothing is granted yet (``say: wait``): ``recovery/gather.py``. A grant is on disk before it is told; the file
+is written by a lane of its own, so that a slow disk delays no other answer. ``POST /v1/entries``: a ``Shipment``, answered with how
+far its node's entries are here. ``GET /v1/status``: the term, and what is out of each budget.
 """
 from __future__ import annotations
 
--- a/aniserudder/recovery/asks.py
+++ b/aniserudder/recovery/asks.py
@@ -1,9 +1,9 @@
 """Whom a start asks about engines whose start nobody has confirmed: the engines themselves, within a budget over the fleet. No I/O.
 
 All nodes may come back at once, and every engine would be asked by all of them in the same moment. So each node spreads its asks over
-a time that grows with the number of nodes: ``SPACING`` for each, so that an engine meets 1 / ``SPACING`` asks a second of the whole
-fleet on average, whatever its size, and a node of N engines has N / (nodes * ``SPACING``) a second to make. An engine is asked once, and once more if it
-did not answer: it may be coming up itself. What it says can only make it colder than its list says, or warmer than assumed.
+a time that grows with the number of nodes, ``SPACING`` for each, up to ``LONGEST``: an engine meets 1 / ``SPACING`` asks a second of a
+fleet of up to ``LONGEST`` / ``SPACING`` nodes, and in a larger one nodes / ``LONGEST``. An engine is asked once, and once more if it did
+not answer: it may be coming up itself. What it says can only make it colder than its list says, or warmer than assumed.
 """
 from __future__ import annotations
 
--- a/aniserudder/roster/follow.py
+++ b/aniserudder/roster/follow.py
@@ -178,7 +178,8 @@
         if problem:
             if len(problem.args) > 1 and isinstance(problem, codec.BadLine):
                 self._seen = problem.args[1]  # told once for each state of the file
-            self.log("roster file not used", level="warning", reason=f"{self.source.file}: {problem.args[0] if isinstance(problem, codec.BadLine) else problem}".replace("\n", " "))
+            said = problem.args[0] if isinstance(problem, codec.BadLine) else problem
+            self.log("roster file not used", level="warning", reason=f"{self.source.file}: {said}".replace("\n", " "))
         elif found:
             self._seen, rows = found
             if rows is not None:
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -2,16 +2,18 @@
 import errno
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
 import time
+from http.client import HTTPConnection
 from pathlib import Path
 from random import Random
 
 import pytest
 from hypothesis import given, settings as examples, strategies as st
-from twisted.internet import reactor
+from twisted.internet import reactor, threads
 
 from aniserudder.durable import Full, Kind, Lane, Late, State, Writer
 from aniserudder.durable.order import POLICIES, Queue, Write
@@ -19,8 +21,10 @@
 from aniserudder.ledger.entries import Sent, Taken, Told
 from aniserudder.ledger.store import LedgerFull, Missing, Store
 from aniserudder.standins import disk
+from aniserudder.wire.text import free_port
 from stand import on_loop, sleep, until
 from test_ledger import some
+from test_sockets import KINDS, TYPES, engine
 
 STEPS = st.lists(st.one_of(st.tuples(st.just("put"), st.sampled_from([Kind.ENTRIES, Kind.LIST, Kind.RECORD]), st.integers(0, 2)),
                            st.tuples(st.just("take")), st.tuples(st.just("over"), st.booleans()),
@@ -240,6 +244,56 @@
         assert path.read_bytes() == data
 
 
+def test_a_start_on_a_full_disk(tmp_path):
+    """The ledger's service says so in one line; a node starts, refuses what it could not write, and takes it when there is room."""
+    script, path = tmp_path / "script", tmp_path / "n.ledger"
+    store = Store(path)
+    store.keep_leases([("b", 1, "node", "old", 70, 5, False)])
+    store.close()
+    disk.play(script, disk.Script(trouble="full"))
+    command = [sys.executable, "-m", "aniserudder.standins.disk", str(script)]
+    said = subprocess.run([*command, "ledger", "serve", str(path)], capture_output=True, text=True, timeout=30)
+    assert said.returncode == 2 and said.stderr.startswith(f"{path}: FullError") and said.stderr.count("\n") == 1, said.stderr
+
+    async def scene():
+        one, port = engine("m1", "mixed"), free_port()
+        settings = tmp_path / "node.yaml"
+        settings.write_text("\n".join(["zone: any", KINDS, TYPES, f"messages: {{listen: {{port: {port}}}}}", f"ledger: {{path: '{path}'}}",
+                                       f"roster: {{rows: [{{engine: m1, address: '{one.address('any')}', kind: mixed, zone: any}}]}}"]))
+        child = subprocess.Popen([*command, "serve", str(settings)], stderr=subprocess.PIPE, text=True)
+        ask = lambda: asked(port)
+        try:
+            await until(lambda: one and listens(port), 15)
+            full = await threads.deferToThread(ask)
+            disk.play(script, disk.Script())
+            status = full
+            for _ in range(40):
+                status = await threads.deferToThread(ask)
+                if status == 200:
+                    break
+                await sleep(0.1)
+        finally:
+            child.send_signal(signal.SIGTERM)
+            log = (await threads.deferToThread(child.communicate))[1]
+            one.stop()
+        return full, status, child.returncode, log
+    full, status, code, log = on_loop(scene)
+    assert (full, status, code) == (503, 200, 0) and "ledger cannot be written" in log and "Traceback" not in log
+
+
+def asked(port):
+    connection = HTTPConnection("127.0.0.1", port, timeout=10)
+    connection.request("POST", "/v1/messages", b'{"model":"note","max_tokens":5,"messages":[{"role":"user","content":"hi [ref a1]"}]}')
+    answer = connection.getresponse()
+    answer.read()
+    return answer.status
+
+
+def listens(port):
+    with socket.socket() as probe:
+        return probe.connect_ex(("127.0.0.1", port)) == 0
+
+
 SHORT = """
 about: disks that fall ill under two nodes and their ledger
 like: disk
