Relays between nodes, ledger and lists: silent one way, slow, cut, never up

Cause: bad links to the ledger could be rehearsed only by killing it; the hard cases of lost answers and one-way silence had no stand-in.

--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -391,7 +391,7 @@
     from ..lab.stage import run as play
     from ..rehearsal.plan import draw
     missing = sorted({f.trouble for f in form.troubles} & {"flood", "ledger_crash", "frozen"}) + ["ledger"] * form.ledger + [
-        "disk"] * (form.disk is not None)
+        "disk"] * (form.disk is not None) + ["links"] * form.links
     if missing:
         fail(f"{day}: {', '.join(missing)} cannot be played in simulated time: rehearse it")
     plan = draw(form, seed)
--- a/aniserudder/rehearsal/day.py
+++ b/aniserudder/rehearsal/day.py
@@ -20,7 +20,8 @@
 Trouble = Literal["balancer_crash", "node_stop", "flush", "hang", "slow", "zone_cut", "preempt", "mass_restart", "pauses",
                   "answer_lost", "give_up", "burst", "heavy_tail", "hot_key", "refuse", "reset_before", "reset_after",
                   "garble", "roster_away", "role_swap", "ledger_crash", "flood",
-                  "trickle", "disk_slow", "disk_full", "disk_read_only", "disk_stuck", "frozen", "power_loss"]
+                  "trickle", "disk_slow", "disk_full", "disk_read_only", "disk_stuck", "frozen", "power_loss",
+                  "link_silent", "link_slow", "link_reset", "link_cut", "link_never"]
 
 
 class DayRules(Part):
@@ -87,6 +88,8 @@
     rack: int | None = None
     size: Annotated[float, Field(gt=0)] = Field(2.0, description="of disk_slow: milliseconds of a flush")
     ledger: bool = Field(False, description="of disks, power and frozen processes: the ledger is struck too")
+    to: Literal["ledger", "lists"] = Field("ledger", description="of links: from the nodes struck to that process")
+    way: Literal["both", "there", "back"] = Field("both", description="of link_silent: in which direction")
     nodes: bool = Field(True, description="of power: nodes are struck")
     ledger_old_s: Seconds = Field(0, description="of power: the ledger's file comes back as it was so long before; 0: as it was")
     wall_off_s: float = Field(0, description="of power: by how much the wall clocks of those struck are wrong afterwards, either way")
@@ -125,6 +128,7 @@
         "", description="also played without continuation, with writes on the reactor's thread, or with other beliefs at a start")
     recovery: Recovery = Recovery()
     overdraft_tokens: Annotated[int, Field(ge=0)] = 20_000
+    links: bool = Field(False, description="a relay stands between each node and the ledger, and the list server")
     disk: Disk | None = Field(None, description="a stand-in's; left out: the machine's")
     descriptors: Annotated[int, Field(ge=64)] = Field(4096, description="limit of each node's process")
 
@@ -140,6 +144,8 @@
                     raise ValueError(f"troubles: kind {kind!r} is none of engines' ({', '.join(sorted(kinds))})")
             if fault.trouble.startswith(("disk_", "power_")) and self.disk is None:
                 raise ValueError(f"troubles: {fault.trouble} needs a stand-in's disk: disk is missing")
+            if fault.trouble.startswith("link_") and not self.links:
+                raise ValueError(f"troubles: {fault.trouble} needs relays: links is missing")
             if fault.at >= self.seconds:
                 raise ValueError(f"troubles: {fault.trouble} at {fault.at:g} s lies past the day's end")
         return self
--- a/aniserudder/rehearsal/stage.py
+++ b/aniserudder/rehearsal/stage.py
@@ -30,6 +30,7 @@
 from ..standins import disk
 from ..standins.client import Clients, Front, NodeSeat
 from ..standins.engine import Repeats, StandinEngine
+from ..standins.relay import Bad, Relay
 from ..standins.roster import StandinRoster
 from ..standins.witness import Witness
 from ..wire.text import free_port
@@ -125,6 +126,11 @@
         self._wall_off: dict[str, float] = {}
         self._boots: dict[str, int] = {}  # how often each lost power
         self.ledger_port = free_port()
+        self.relays: dict[tuple[str, str], Relay] = {}
+        if day.links:
+            there = {"ledger": ("127.0.0.1", self.ledger_port), "lists": ("127.0.0.1", self.roster.listener.port)}
+            self.relays = {(seat.name, to): Relay(reactor, target, Random(f"{seed} link {seat.name} {to}"))
+                           for seat in self.seats for to, target in there.items()}
         self.ledger: NodeProcess | None = None
         self.processes: dict[str, NodeProcess] = {}
         self.exits: dict[str, int] = {}
@@ -152,7 +158,7 @@
             "node": seat.name, "zone": seat.zone, "nodes": len(self.seats), "seed": self.plan.seeds[seat.name],
             "record": str(self.folder / f"{seat.name}.decisions"),
             "messages": {"listen": {"host": seat.host, "port": seat.port}, "event_names": day.event_names},
-            "roster": {"server": self.roster.listener.address, "last_list": str(self.folder / f"{seat.name}.list")},
+            "roster": {"server": self._way(seat, "lists", self.roster.listener.address), "last_list": str(self.folder / f"{seat.name}.list")},
             "kinds": {e.kind: {"role": e.role} for e in day.engines},
             "types": {n: t.model_dump(exclude=own) | {"models": [n]} for n, t in day.types.items()},
             "customers": {c: {"keys": [f"{c}-key-1"]} for c in day.traffic.customers},
@@ -164,13 +170,18 @@
             form["ledger"] = {"path": str(self.folder / f"{seat.name}.ledger"), "durability": day.disk.durability}
         if day.ledger:
             form["tenants"] = {n: t.model_dump() for n, t in day.tenants.items()}
-            form["ledger"] = {"path": str(self.folder / f"{seat.name}.ledger"), "service": f"127.0.0.1:{self.ledger_port}",
+            form["ledger"] = {"path": str(self.folder / f"{seat.name}.ledger"), "service": self._way(seat, "ledger", f"127.0.0.1:{self.ledger_port}"),
                               "overdraft_tokens": day.overdraft_tokens,
                               "durability": day.disk.durability if day.disk else "process"}
         path = self.folder / f"{seat.name}.yaml"
         path.write_text(yaml.safe_dump(form))
         return path
 
+    def _way(self, seat: NodeSeat, to: str, address: str) -> str:
+        """Where a node finds that process."""
+        relay = self.relays.get((seat.name, to))
+        return relay.address if relay else address
+
     def _spawn(self, seat: NodeSeat) -> None:
         log = (self.folder / f"{seat.name}.log").open("ab", buffering=0)
         process = self.processes[seat.name] = NodeProcess(seat.name, log)
@@ -302,6 +313,8 @@
             self.ledger.transport.signalProcess("TERM")
         for engine in self.engines.values():
             engine.stop()
+        for relay in self.relays.values():
+            relay.stop()
         self.roster.stop()
 
     # Troubles.
@@ -370,6 +383,16 @@
                     self._freeze(process, fault.seconds)
             case "power_loss":
                 self._lose_power(strike)
+            case "link_reset":
+                for name in strike.nodes:
+                    self.relays[name, fault.to].reset()
+            case "link_silent" | "link_slow" | "link_cut" | "link_never":
+                bad = {"link_silent": Bad(there=fault.way != "back", back=fault.way != "there"), "link_slow": Bad(slow_s=fault.size / 1000),
+                       "link_cut": Bad(cut_after=round(fault.size)), "link_never": Bad(never=True)}[fault.trouble]
+                for name in strike.nodes:
+                    if fault.trouble == "link_never":
+                        self.relays[name, fault.to].reset()
+                    self.relays[name, fault.to].turns(bad, fault.seconds, later)
             case "roster_away":
                 self.roster.away(fault.seconds)
                 later(fault.seconds, self.witness.note, "roster_back")
