A keyed once-only operation runs once, whichever node its client asks again

Cause: a node that lost power after it had sent a once-only operation took what it knew with it; the client came again at another node with the same key, and nothing was looked up there (Messages._take_up went straight to Books.reserve).

Change: ledger/claims.py decides (no I/O), ledger/claimant.py carries out at a node. The ledger keeps which sequence may have an operation's effect and, flushed before a byte goes there, each engine that could have it. Whoever asks later is told to come again, takes over where every such engine proves that nothing ran, or tells its client that it ran or may have. A place is sent to within half a second of its ask or not at all (ports.Attempt.send_by, checked when the connection is there), a claim is taken over two seconds after its holder was last granted anything. Entries that nodes ship make the same claims, so a restored file has them back before it grants. Asks for operations wait while a term gathers. EnginePool's small exchange moved to wire/connections, where the claimant uses it too.

--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -132,9 +132,10 @@
 @click.option("--resume", type=click.Choice(["node", "client", "off"]), help="Who continues broken streams, whatever the day says.")
 @click.option("--policy", type=click.Choice(["weigh", "trust", "wait"]), help="What starts believe, whatever the day says.")
 @click.option("--at-once", is_flag=True, help="Of a day with a disk of its own: nodes write on the reactor's thread, as a baseline.")
+@click.option("--no-claims", is_flag=True, help="Nodes know of no claimed operations, as a baseline.")
 @click.option("--plot", "picture", type=click.Path(dir_okay=False), help="Of a day with a twin: also write a PNG there.")
 def rehearse(day: str | None, seed: int, record: str | None, keep: str | None, names: bool, quiet: bool, resume: str | None,
-             policy: str | None, at_once: bool, picture: str | None) -> None:
+             policy: str | None, at_once: bool, no_claims: bool, picture: str | None) -> None:
     """Play DAY (a shipped name or a YAML file) on loopback and check the rules from the sockets.
 
     Exit 1 if a rule is broken, a node fails or a decision record does not replay.
@@ -160,6 +161,8 @@
         if form.disk is None:
             fail(f"{day}: --at-once needs a day with a disk of its own")
         form = form.model_copy(update={"disk": form.disk.model_copy(update={"at_once": True})})
+    if no_claims:
+        form = form.model_copy(update={"claims": False})
     if resume:
         form = form.model_copy(update={"twin": "", "streams": form.streams.model_copy(update={"resume": resume})})
     if sum(form.nodes.values()) > LOOPBACK_NODES or form.seconds > LOOPBACK_SECONDS:
@@ -171,6 +174,7 @@
     say = (lambda line: None) if quiet else (lambda line: click.echo(f"  {line}"))
     twin = play_twin(day, seed, say) if form.twin == "streams" else None
     others = {name: play_policy(day, seed, name, say) for name in ("trust", "wait")} if form.twin == "recovery" and not policy else {}
+    without_claims = play_without_claims(day, seed, say) if form.twin == "claims" and not no_claims else None
     at_once_too = play_at_once(day, seed, say) if form.twin == "disk" and not at_once else None
     try:
         out = open(record, "wb") if record else None
@@ -202,6 +206,10 @@
         last, worse = report.disk_line(verdict, at_once_too)
         click.echo(last)
         differs = differs or worse
+    if without_claims is not None:
+        last, worse = report.claims_line(seen, verdict, without_claims)
+        click.echo(last)
+        differs = differs or worse
     if others:
         from ..rehearsal import outage
         kept = outage.account(ran.lines)
@@ -236,6 +244,12 @@
     return outage.account(play_apart(day, seed, ["--policy", policy], may_break=True).lines)
 
 
+def play_without_claims(day: str, seed: int, say: Callable[[str], None]) -> judge.Record:
+    """The same day with nodes that know of no claims; what it breaks is what it is played for."""
+    say("the day without claims comes first")
+    return play_apart(day, seed, ["--no-claims"], may_break=True)
+
+
 def play_at_once(day: str, seed: int, say: Callable[[str], None]) -> judge.Verdict:
     """The same day with writes on the reactor's thread; what it breaks is what it is played for."""
     from ..rehearsal import audit as judge
--- a/aniserudder/core/ports.py
+++ b/aniserudder/core/ports.py
@@ -26,6 +26,7 @@
     token: str = ""
     model: str = ""
     mark: str = ""
+    claimed: bool = False    # the operation of that mark must not run twice, whoever asks for it again
     forced: str = ""         # text so far of a stream that goes on: the engine has to begin behind it
     forced_tokens: int = 0
     target: str = ""
@@ -69,6 +70,7 @@
     request: Request
     state: dict[str, Any] | None  # transfer parameters of the state to fetch
     time_out: int            # microseconds, told to the engine; the library itself keeps the time
+    send_by: int             # on the port's clock: later it may not be sent any more; 0: any time
 
     def continues(self, at: int, digest: str) -> None:
         """Where in the whole answer the text that follows begins, in UTF-8 bytes, and the digest (xxh3, 64 bits, hex) of
--- a/aniserudder/core/router.py
+++ b/aniserudder/core/router.py
@@ -57,6 +57,7 @@
     state: dict[str, Any] | None
     time_out: int
     request: Request
+    send_by: int = 0
     timer: IDelayedCall | None = None
     started: bool = False
     over: bool = False
--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -16,6 +16,7 @@
 from ..core.router import StreamRules
 from ..durable import AtOnce, Ground, Paper, Writer
 from ..engines import EnginePool
+from ..ledger.claimant import Claimant
 from ..ledger.books import Books, MeteredEngines, Rules
 from ..ledger.store import LedgerBroken, Store
 from ..messages import Messages
@@ -71,6 +72,9 @@
         engines = MeteredEngines(self.pool, self.books) if self.books else self.pool
         if self.books:
             self.books.engines = engines
+            if any(t.claimed for t in settings.types.values()):
+                self.books.claims = Claimant(reactor, settings.node, settings.ledger.service, self.books.lane, self.books.wall,
+                                             self.pool.ask_usage, self.pool.ask_up)
         self.ascent = ascent(settings, reactor, seed)
         self.router = Router(settings.decisions_settings(), seed, engines, reactor, recorder, self.log, settings.node,
                              stream_rules(settings.streams))
--- a/aniserudder/engines/pool.py
+++ b/aniserudder/engines/pool.py
@@ -130,27 +130,6 @@
         self.finish(codec.Ended(Outcome.CUT, reason="the stream fell silent"), drop=True)
 
 
-class Collect:
-    """A small exchange whose whole answer is wanted."""
-
-    __slots__ = ("done", "status", "data", "most")
-
-    def __init__(self, done: Callable[[int, bytes], None], most: int) -> None:
-        self.done, self.status, self.data, self.most = done, 0, b"", most
-
-    def head(self, status: int) -> None:
-        self.status = status
-
-    def body(self, data: bytes) -> None:
-        self.data = (self.data + data)[:self.most]
-
-    def complete(self) -> None:
-        self.done(self.status, self.data)
-
-    def lost(self, reason: str, malformed: bool) -> None:
-        self.done(0, b"")
-
-
 class EnginePool(Connections):
     """The engines of a node, in the project's own protocol (``codec``).
 
@@ -180,6 +159,9 @@
         def ready(connection: ClientConnection) -> None:
             if run.over:  # called off while the connection was made
                 return self.free(connection)
+            if attempt.send_by and self.reactor.seconds() * 1e6 > attempt.send_by:
+                self.free(connection)
+                return run.finish(codec.Ended(Outcome.NOT_SENT, reason="its time to be sent is over"))
             run.connection = connection
             if not connection.ask("POST", codec.GENERATE, headers, body, run):
                 run.finish(codec.Ended(Outcome.NOT_SENT, reason="the connection went before the request"))
@@ -245,26 +227,4 @@
 
     def _ask(self, engine: str, method: str, path: str, body: bytes, done: Callable[[int, bytes], None]) -> None:
         """One small exchange, bounded in time by the connect limit. Status 0: it did not come off."""
-        state: dict[str, Any] = {"over": False, "connection": None}
-
-        def finish(status: int, data: bytes) -> None:
-            if not state["over"]:
-                state["over"] = True
-                timer.active() and timer.cancel()
-                done(status, data)
-
-        def late() -> None:
-            if state["connection"]:
-                state["connection"].drop()
-            finish(0, b"")
-
-        timer = self.reactor.callLater(2 * self.limits.connect_ms / 1000, late)
-
-        def ready(connection: ClientConnection) -> None:
-            if state["over"]:
-                return self.free(connection)
-            state["connection"] = connection
-            if not connection.ask(method, path, [], body, Collect(finish, self.limits.line_bytes)):
-                finish(0, b"")
-
-        self.connected(engine, ready, lambda reason: finish(0, b""))
+        self.ask(engine, method, path, body, self.limits.line_bytes, 2 * self.limits.connect_ms / 1000, done)
--- a/aniserudder/ledger/books.py
+++ b/aniserudder/ledger/books.py
@@ -28,6 +28,7 @@
 from ..tenants.keeper import Account, Keeper, Refusal
 from ..tenants.shares import Lease
 from ..wire.client import ClientConnection
+from .claimant import Claimant
 from .entries import Ended, Entry, Row, Sent, Shipment, Taken, Told
 from .service import Ask, Asks, Grant, Hold, Reply
 from .store import LedgerFull, Store
@@ -53,12 +54,13 @@
 class MeteredAttempt:
     """A schedule attempt on its way through the books (``core.ports.Attempt``)."""
 
-    __slots__ = ("books", "inner", "seq_id", "ordinal", "engine", "reads", "request", "state", "time_out", "gone_out")
+    __slots__ = ("books", "inner", "seq_id", "ordinal", "engine", "reads", "request", "state", "time_out", "send_by", "gone_out")
 
     def __init__(self, books: Books, inner: Attempt) -> None:
         self.books, self.inner = books, inner
         self.seq_id, self.ordinal, self.engine = inner.seq_id, inner.ordinal, inner.engine
         self.reads, self.request, self.state, self.time_out = inner.reads, inner.request, inner.state, inner.time_out
+        self.send_by = inner.send_by
         self.gone_out = False    # its entry is on the disk, and it was handed on
 
     def continues(self, at: int, digest: str) -> None:
@@ -83,15 +85,26 @@
 
     def send(self, attempt: Attempt) -> None:
         metered = self._out[attempt] = MeteredAttempt(self.books, attempt)
-        self.books.sent(metered, lambda written: self._written(attempt, metered, written))
-
-    def _written(self, attempt: Attempt, metered: MeteredAttempt, written: bool) -> None:
-        if self._out.get(attempt) is not metered:
-            return  # called off while it waited for the disk
-        if not written:
-            return metered.ended(Outcome.NOT_SENT, reason="the ledger cannot be written")
-        metered.gone_out = True
-        self.inner.send(metered)
+        claimed = self.books.claims is not None and attempt.request.claimed and not attempt.reads
+        waits = {"the ledger cannot be written"} | ({"its operation is not granted"} if claimed else set())
+
+        def told(what: str, good: bool) -> None:
+            if self._out.get(attempt) is not metered:
+                return  # called off while it waited, or the other has refused already
+            waits.discard(what)
+            if not good:
+                metered.ended(Outcome.NOT_SENT, reason=what)
+            elif not waits:
+                metered.gone_out = True
+                self.inner.send(metered)
+
+        def placed(until: int) -> None:
+            metered.send_by = until
+            told("its operation is not granted", until > 0)
+        self.books.sent(metered, lambda written: told("the ledger cannot be written", written))
+        if claimed:
+            self.books.claims.place(attempt.request.mark, attempt.seq_id, attempt.ordinal, attempt.engine,
+                                    self.books.rules.patience_for(attempt), placed)
 
     def call_off(self, attempt: Attempt) -> None:
         metered = self._out.pop(attempt, None)
@@ -151,6 +164,9 @@
     patience_held: int = 180_000  # and one to which a read state is held: rule 5 goes on meanwhile
     service: str = ""             # host:port of the ledger service; empty: this node is alone
 
+    def patience_for(self, attempt: Attempt) -> int:
+        return self.patience if attempt.state is None else self.patience_held
+
 
 class Books:
     """One node's books.
@@ -189,6 +205,7 @@
         self._busy = self._stopped = self._ships = False
         self._timers: list[IDelayedCall] = []
         self.engines: MeteredEngines | None = None
+        self.claims: Claimant | None = None
 
     def start(self) -> None:
         """Takes up what a former life left open, and begins to lease and ship."""
@@ -207,6 +224,8 @@
                 timer.cancel()
         if self._service:
             self._service.drop()
+        if self.claims:
+            self.claims.stop()
         self.lane.close(self.store.close)
 
     @property
@@ -228,7 +247,7 @@
             at = self.wall()
             one = Try(self.node, seq, mark, bool(request.mark), prompt.customer, prompt.traffic_type, at)
             self.open[seq] = Open(prompt.customer, one, Taken(seq, at, prompt.customer, prompt.traffic_type, mark,
-                                                              bool(request.mark)))
+                                                              bool(request.mark), request.claimed))
         return refusal
 
     def sent(self, attempt: MeteredAttempt, then: Callable[[bool], None]) -> None:
@@ -250,8 +269,7 @@
             self._unwritten(sent.seq, "the disk is slow or full")
             self.reactor.callLater(0, told, False)
         else:
-            self._write([taken, sent] if taken else [sent], told,
-                        self.rules.patience_held if sent.fetched else self.rules.patience, soon=True)
+            self._write([taken, sent] if taken else [sent], told, self.rules.patience_for(attempt), soon=True)
 
     def never_ran(self, attempt: MeteredAttempt) -> None:
         """An attempt that had not gone out and will not."""
@@ -341,8 +359,8 @@
             said = _dict(body)
             if said.get("state") == "running":
                 return
-            if said.get("state") == "unknown":  # it never had the request
-                return self._told(Told(sent.seq, sent.ordinal, "never ran"))
+            if said.get("state") == "unknown":  # it never had the request, or has forgotten it: a claim takes no proof of that from here
+                return self._told(Told(sent.seq, sent.ordinal, "not known there"))
             self._told(bounded(sent, str(said.get("outcome", "")), said["read"], said["kept"], said["written"], seen))
         except (msgspec.DecodeError, KeyError, TypeError):
             self._told(bounded(sent, "untold", 0, 0, seen, seen, "the engine's figures cannot be read"))
@@ -382,8 +400,8 @@
                 (asks if wanted > 0 else returns).append(
                     Ask(account.budget.name, account.budget.most, account.spent.begin, abs(wanted), account.part.used))
         behind = self.upto < self.last
-        beat = self._tells or now - self._beat >= BEAT_S and any(
-            isinstance(a.part, Lease) and a.part.leased for a in self.keeper.accounts.values())
+        beat = self._tells or now - self._beat >= BEAT_S and (self.claims is not None and self.claims.granted > 0 or any(
+            isinstance(a.part, Lease) and a.part.leased for a in self.keeper.accounts.values()))
         leases = bool(asks or returns or beat)
         self._ships = behind and (not leases or not self._ships)  # in turn, so that neither starves the other
         if leases and not self._ships:
@@ -391,7 +409,7 @@
             for back in returns:  # before they are told: if that gets lost they are wasted, and never granted twice
                 self.keeper.accounts[back.budget].part.returned(back.wanted)
             self._request("/v1/lease", _encode(Asks(self.node, self.life, asks, returns, self.term, self._tells,
-                                                    self._holds() if self._tells else [])),
+                                                    self._holds() if self._tells else [], self.last)),
                           lambda s, b: self._granted(asks, s, b))
         elif behind:
             for ask in asks:
@@ -413,6 +431,8 @@
             self.term, self._tells = reply.term, reply.say == "tell"
             if not self._tells:
                 self.on_term()
+        if reply.upto >= 0:  # the service's file was restored from an older copy: what it lacks goes there again
+            self.upto = min(self.upto, reply.upto)
         grants = {g.budget: g for g in reply.grants}
         for ask in asks:
             account, grant = self.keeper.accounts.get(ask.budget), grants.get(ask.budget)
--- a/aniserudder/ledger/entries.py
+++ b/aniserudder/ledger/entries.py
@@ -16,6 +16,7 @@
     type: str
     mark: str
     keyed: bool = False
+    claimed: bool = False        # it must not run twice: ``claims.py``
 
 
 class Sent(msgspec.Struct, tag="sent", tag_field="entry", omit_defaults=True):
--- a/aniserudder/ledger/service.py
+++ b/aniserudder/ledger/service.py
@@ -4,7 +4,8 @@
 answered with grants and the ledger's term. A node that names another term is told to tell first what it holds (``say: tell``);
 while a term is young, nothing is granted yet (``say: wait``): ``recovery/gather.py``. A grant is on disk before it is told; the file
 is written by a lane of its own, so that a slow disk delays no other answer. ``POST /v1/entries``: a ``Shipment``, answered with how
-far its node's entries are here. ``GET /v1/status``: the term, and what is out of each budget.
+far its node's entries are here. ``POST /v1/claim``: a ``claims.Claim``, answered with a ``claims.Answer``. ``GET /v1/status``: the
+term, what is out of each budget, and how many operations are claimed.
 """
 from __future__ import annotations
 
@@ -19,6 +20,8 @@
 from ..recovery.gather import Gathering, Phase, Said, Term
 from ..tenants.shares import Grantor
 from ..wire.server import Bounds, Exchange, ServerFactory
+from . import claims
+from .claims import Claim
 from .entries import Shipment
 from .store import Flushed, LeaseRow, Missing, Store
 
@@ -42,7 +45,8 @@
 
 
 class Asks(msgspec.Struct):
-    """``term``: as last heard. ``tells``: ``holds`` is all that the node was granted, in this life and in former ones that it knows of."""
+    """``term``: as last heard. ``tells``: ``holds`` is all that the node was granted, in this life and in former ones that it knows of,
+    and ``last`` the number of its newest entry."""
     node: str
     life: str
     asks: list[Ask] = []
@@ -50,6 +54,7 @@
     term: str = ""
     tells: bool = False
     holds: list[Hold] = []
+    last: int = 0
 
 
 class Grant(msgspec.Struct):
@@ -61,14 +66,16 @@
 
 
 class Reply(msgspec.Struct):
-    """``say``: "tell", "wait" or empty."""
+    """``say``: "tell", "wait" or empty. ``upto``: how far this file has the node's entries, where it was proven to be old; else -1."""
     grants: list[Grant] = []
     term: str = ""
     say: str = ""
+    upto: int = -1
 
 
 CLOCK_SLACK = 5_000_000  # microseconds by which a node's clock may be ahead when a period turns
 _asks, _shipment = msgspec.json.Decoder(Asks).decode, msgspec.json.Decoder(Shipment).decode
+_claim = msgspec.json.Decoder(Claim).decode
 _encode = msgspec.json.Encoder().encode
 
 
@@ -100,6 +107,8 @@
             known[1].load(node, life, leased, used, over)
         holders = frozenset(node for _, grantor in self.grantors.values() for node, held in grantor.held.items() if held.leased)
         self.gathering = Gathering(Term(store.new_term(), nonce or os.urandom(4).hex()), holders, self._now())
+        self.settling = claims.Settling(self._now())
+        self.behind: dict[str, tuple[int, int]] = {}  # nodes that have told in this term: entries still to be shipped, and until when they are waited for
         self.factory = ServerFactory(reactor, Bounds(16_384, 8_388_608, 10, 60, 8_388_608), self._asked)
         self._port: IListeningPort | None = None
 
@@ -132,6 +141,7 @@
         if said is Said.TELL:
             return told(Reply(term=str(self.gathering.term), say="tell"), None)
         if asks.tells:
+            self.behind[asks.node] = asks.last, self._now() + claims.CATCH_UP
             rows += self._take_up(asks)
             said = self.gathering.asks(asks.node, self.gathering.term, False, self._now())
         for ask in asks.returns:
@@ -156,18 +166,40 @@
             grants.append(Grant(ask.budget, begin, granted, left, grantor.out))
             rows += self._rows(ask.budget, begin, grantor, asks.node)
 
-        def written(_: None, problem: Exception | None) -> None:
+        def written(upto: int | None, problem: Exception | None) -> None:
+            if asks.tells and upto is not None:
+                self._caught_up(asks.node, upto)
             if problem:
                 for grant in grants:
                     begin, grantor = self._grantor(grant.budget)
                     if begin == grant.begin:
                         grantor.take_back(asks.node, asks.life, grant.granted)
-            told(Reply(grants, str(self.gathering.term), "wait" if said is Said.WAIT else ""), problem)
-        if rows or dropped:
-            self.lane.put(Kind.LEASES, Flushed(lambda store: store.keep_leases(rows, dropped)), written)
+            old = self.gathering.old and upto is not None
+            told(Reply(grants, str(self.gathering.term), "wait" if said is Said.WAIT else "", upto if old else -1), problem)
+
+        def write(store: Store) -> int | None:
+            store.keep_leases(rows, dropped)
+            return store.shipped(asks.node) if asks.tells else None
+        if rows or dropped or asks.tells:
+            self.lane.put(Kind.LEASES, Flushed(write), written)
         else:
             written(None, None)
 
+    def claim(self, ask: Claim, told: Callable[[claims.Answer | None, Exception | None], None]) -> None:
+        """Answers an ask for an operation; what it grants is flushed before ``told`` hears of it."""
+        now = self._now()
+        self.gathering.look(now)
+        self.behind = {node: (last, until) for node, (last, until) in self.behind.items() if until > now}
+        if self.gathering.phase is Phase.GATHERING or self.behind:
+            return told(claims.Answer(claims.Said.WAIT), None)
+        settled = self.settling.asks(ask.mark, now)
+
+        def written(answer: claims.Answer | None, problem: Exception | None) -> None:
+            may_send = problem is not None or answer.said is claims.Said.GO  # one that is late may be written all the same
+            self.settling.answered(ask.mark, may_send, self._now())
+            told(answer, problem)
+        self.lane.put(Kind.LEASES, Flushed(lambda store: store.claim(ask, settled, self.wall())), written)
+
     def _take_up(self, asks: Asks) -> list[LeaseRow]:
         """What a node proves to hold. Returns what is to be written of it."""
         rows = []
@@ -194,6 +226,7 @@
         self.log("ledger was old", level="warning", reason=f"{asks.node} has heard of term {heard}, this one is {self.gathering.term}")
         for _, grantor in self.grantors.values():
             grantor.rebase()
+        self.settling, self.behind = claims.Settling(self._now()), {}  # claims that this file does not know may be recent
         self.gathering = self.gathering.overtaken(heard, os.urandom(4).hex(), self._now())
         reply = Reply(term=str(self.gathering.term), say="tell")
         self.lane.put(Kind.LEASES, Flushed(lambda store: store.new_term(heard.number)), lambda _, problem: told(reply, problem))
@@ -220,7 +253,9 @@
                     sent = _shipment(bytes(exchange.body))
                     rows = [(r.number, bytes(r.body)) for r in sent.rows]
                     self.lane.put(Kind.SHIPPED, lambda store: store.receive(sent.node, sent.after, rows),
-                                  lambda upto, problem: self._answer(exchange, {"upto": upto}, problem))
+                                  lambda upto, problem: self._received(exchange, sent.node, upto, problem))
+                case "/v1/claim":
+                    self.claim(_claim(bytes(exchange.body)), lambda answer, problem: self._answer(exchange, answer, problem))
                 case "/v1/status":
                     exchange.reply(200, _encode(self.status()))
                 case _:
@@ -228,6 +263,15 @@
         except (msgspec.DecodeError, ValueError) as wrong:
             exchange.reply(400, _encode({"error": str(wrong)[:300]}))
 
+    def _received(self, exchange: Exchange, node: str, upto: int | None, problem: Exception | None) -> None:
+        if problem is None:
+            self._caught_up(node, upto)
+        self._answer(exchange, {"upto": upto}, problem)
+
+    def _caught_up(self, node: str, upto: int) -> None:
+        if node in self.behind and upto >= self.behind[node][0]:
+            del self.behind[node]
+
     def status(self) -> dict[str, object]:
         """Which term leads, and what is out of each budget."""
         term = self.gathering
@@ -237,9 +281,10 @@
             held, ended = sum(h.leased for h in grantor.held.values()), sum(grantor.ended.values())
             rows.append({"budget": budget, "begin": begin, "most": grantor.most, "out": grantor.out, "held": held, "ended": ended,
                          "hearsay": grantor.out - held - ended})
-        return {"term": str(term.term), "phase": term.phase.value, "old": term.old, "told": len(term.told), "budgets": rows}
+        return {"term": str(term.term), "phase": term.phase.value, "old": term.old, "told": len(term.told), "budgets": rows,
+                "claims": len(self.settling.recent), "behind": sorted(self.behind)}
 
-    def _answer(self, exchange: Exchange, said: Reply | dict[str, int], problem: Exception | None) -> None:
+    def _answer(self, exchange: Exchange, said: Reply | claims.Answer | dict[str, int], problem: Exception | None) -> None:
         match problem:
             case None:
                 exchange.reply(200, _encode(said))
--- a/aniserudder/ledger/store.py
+++ b/aniserudder/ledger/store.py
@@ -19,7 +19,8 @@
 
 from ..durable import Files
 from ..tenants.billing import KEY_FOR, Folded, Line, Price, Tokens, Try, bill, operations
-from . import entries
+from . import claims, entries
+from .claims import Answer, Claim, Place, Row
 from .entries import Entry, Sent, Taken, Told
 
 FORM = "aniserudder ledger 1"
@@ -38,6 +39,14 @@
 # Of lives of nodes that are over: files of before have all of them in one row of ``lease`` without a node.
 LIVES = """CREATE TABLE IF NOT EXISTS lives (budget TEXT NOT NULL, begin INTEGER NOT NULL, node TEXT NOT NULL, life TEXT NOT NULL,
   leased INTEGER NOT NULL, PRIMARY KEY (budget, node, life)) WITHOUT ROWID"""
+# Operations that must not run twice, where each may have run, and the sequences that were tries of them; ``claims.py``.
+CLAIMS = """CREATE TABLE IF NOT EXISTS claims (mark TEXT PRIMARY KEY, seq TEXT NOT NULL, node TEXT NOT NULL, at INTEGER NOT NULL,
+  places BLOB NOT NULL) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS claimants (seq TEXT PRIMARY KEY, mark TEXT NOT NULL, at INTEGER NOT NULL) WITHOUT ROWID;
+CREATE INDEX IF NOT EXISTS claims_at ON claims (at);
+CREATE INDEX IF NOT EXISTS claimants_at ON claimants (at);"""
+PURGE_EVERY = 1_000  # claims between looks for those that are over
+_places, _place_list = msgspec.json.Encoder().encode, msgspec.json.Decoder(list[Place]).decode
 LeaseRow = tuple[str, int, str, str, int, int, bool]  # budget, begin, node, life, leased, used, whether the life is over
 
 
@@ -98,6 +107,7 @@
             if not self._db.execute("SELECT count(*) FROM sqlite_master").fetchone()[0]:
                 self._db.executescript(f"BEGIN;{SCHEMA}INSERT INTO meta VALUES ('form', '{FORM}'), ('base', '');COMMIT;")
             self._db.execute(LIVES)
+            self._db.executescript(CLAIMS)
             found = self._meta("form")
         except (sqlite3.Error, OSError) as problem:
             raise LedgerBroken(f"{path}: {problem}") from None
@@ -105,6 +115,8 @@
             raise LedgerBroken(f"{path}: form {found!r}, this program reads {FORM!r}")
         self._last = self._db.execute("SELECT coalesce(max(no), 0) FROM log").fetchone()[0]
         self._sum = self._sum_before(self._last + 1)
+        self._claims = bool(self._db.execute("SELECT EXISTS (SELECT 1 FROM claims)").fetchone()[0])
+        self._asked = 0
         self.verify(self._last - TAIL)
 
     def close(self) -> None:
@@ -152,6 +164,7 @@
                     db.execute("INSERT OR IGNORE INTO pending VALUES (?, ?, ?)", (entry.seq, entry.ordinal, body))
                 elif isinstance(entry, Told):
                     db.execute("DELETE FROM pending WHERE seq = ? AND ordinal = ?", (entry.seq, entry.ordinal))
+                self._fold(node, entry)
             if upto:
                 db.execute("INSERT OR REPLACE INTO shipped VALUES (?, ?)", (fresh[0][0], upto))
         return self._last
@@ -316,6 +329,56 @@
             n = [int(x) for x in figures.split(",")]
             yield Folded(at, Line(tenant, kind, 1, tries, Tokens(*n[0:3]), Tokens(*n[3:6]), Tokens(*n[6:9]), unconfirmed))
 
+    # Operations that must not run twice.
+
+    def claim(self, ask: Claim, settled: bool, wall: int) -> Answer:
+        """Carries out an ask for an operation (``claims.decide``)."""
+        row, answer = claims.decide(self._claim(ask.mark), ask, settled, wall)
+        if row is not None:
+            self._keep_claim(ask.mark, row)
+        self._asked += 1
+        if self._asked % PURGE_EVERY == 0:
+            with self.together() as db:
+                for table in ("claims", "claimants"):
+                    db.execute(f"DELETE FROM {table} WHERE at < ?", (min(wall, ask.at) - claims.KEEP,))
+        return answer
+
+    def claimed(self) -> int:
+        """How many operations are kept."""
+        return self._db.execute("SELECT count(*) FROM claims").fetchone()[0]
+
+    def _fold(self, node: str, entry: Entry) -> None:
+        """What an entry says of a claim."""
+        if isinstance(entry, Taken):
+            if not entry.claimed:
+                return
+            mark, self._claims = entry.mark, True
+            with self.together() as db:
+                db.execute("INSERT OR IGNORE INTO claimants VALUES (?, ?, ?)", (entry.seq, mark, entry.at))
+        elif self._claims:
+            found = self._db.execute("SELECT mark FROM claimants WHERE seq = ?", (entry.seq,)).fetchone()
+            if found is None:
+                return
+            mark = found[0]
+        else:
+            return
+        before = self._claim(mark)
+        row = claims.fold(before, node, entry)
+        if row is not None and row != before:
+            self._keep_claim(mark, row)
+        elif row is None and before is not None:
+            with self.together() as db:
+                db.execute("DELETE FROM claims WHERE mark = ?", (mark,))
+
+    def _claim(self, mark: str) -> Row | None:
+        found = self._db.execute("SELECT seq, node, at, places FROM claims WHERE mark = ?", (mark,)).fetchone()
+        return Row(*found[:3], _place_list(found[3])) if found else None
+
+    def _keep_claim(self, mark: str, row: Row) -> None:
+        with self.together() as db:
+            db.execute("INSERT OR REPLACE INTO claims VALUES (?, ?, ?, ?, ?)", (mark, row.seq, row.node, row.at, _places(row.places)))
+        self._claims = True
+
     # Leases, led for all nodes by the ledger service.
 
     def leases(self) -> list[LeaseRow]:
--- a/aniserudder/messages/mapping.py
+++ b/aniserudder/messages/mapping.py
@@ -12,7 +12,7 @@
 abandon time    header ``x-abandon-after-ms``, at most the type's own; else the type's, longer by its prompt
 output hint     header ``x-expected-output-tokens`` or ``metadata.expected_output_tokens``, times the type's pace
 mark            header ``idempotency-key``, bound to the customer: the tries of one operation share it on bills, and
-                for tokened types engines are told it
+                for tokened types engines are told it; claimed ones run once, whichever node is asked again
 =============== ============================================================================================
 """
 from __future__ import annotations
@@ -97,7 +97,8 @@
         body = codec.for_engines(asked)
         body["max_tokens"] = prompt.max_output
         mark = f"{customer}/{key}" if key else ""
-        return Request(prompt, body, not asked.stream, mark if row.effect == "tokened" else "", asked.model, mark)
+        return Request(prompt, body, not asked.stream, mark if row.effect == "tokened" else "", asked.model, mark,
+                       bool(mark) and row.claimed)
 
     def returns(self, headers: dict[str, str]) -> int:
         """Microseconds that the client may be away before it returns; 0: leaving is leaving."""
--- a/aniserudder/messages/server.py
+++ b/aniserudder/messages/server.py
@@ -12,6 +12,8 @@
 from ..core.ports import Request, Usage
 from ..core.router import Router
 from ..ledger.books import Books, MeteredAnswer
+from ..ledger.claimant import Claimant
+from ..ledger.claims import Claiming, Stage as Claimed
 from ..recovery.ascent import Ascent
 from ..settings.schema import NodeSettings, micros
 from ..streams.journal import Journal, Shelf
@@ -26,6 +28,7 @@
 
 PATH = "/v1/messages"
 READY = "/v1/ready"
+CLAIM_WITHIN = 2_000_000  # microseconds for the ledger, the engines of an earlier try, and the ledger again
 
 
 class WholeAnswer:
@@ -164,11 +167,34 @@
         """The request's turn: from here on it is a sequence, if its budget lets it."""
         exchange, request = comer.exchange, comer.request
         if waited:
-            request = replace(request, prompt=replace(request.prompt, time_left=max(1, request.prompt.time_left - waited)))
+            request = _later(request, waited)
         self._count += 1
         id = f"seq-{self.boot}-{self._count}"
+        if request.claimed and self.books and self.books.claims:
+            return self._claim(id, comer, request, self.books.claims)
         self._begin(id, id, exchange, request, comer.ticket, comer.returns)
 
+    def _claim(self, id: str, comer: Comer, request: Request, claimant: Claimant) -> None:
+        """An operation that must not run twice: it is a sequence once it is granted to this one."""
+        exchange, began = comer.exchange, round(self.clock.seconds() * 1_000_000)
+
+        def told(one: Claiming) -> None:
+            if one.stage is Claimed.GO and not self.stopping:
+                past = round(self.clock.seconds() * 1_000_000) - began
+                return self._begin(id, id, exchange, _later(request, past), comer.ticket, comer.returns)
+            self.gate.answered(comer.ticket)
+            self.turned_away += 1
+            self.log("operation not taken", level="info", seq=id, reason=one.why or "the node is stopping")
+            if one.stage is Claimed.NEVER:
+                return self.failed(exchange, id, "aborted", one.why, 0)
+            self.failed(exchange, id, "rejected", one.why or "the node is stopping", micros(self.settings.limits.max_come_back_ms))
+
+        def left(reason: str) -> None:
+            claimant.leaves(one)
+            self.gate.answered(comer.ticket)
+        exchange.gone = left
+        one = claimant.claim(request.mark, id, min(request.prompt.time_left, CLAIM_WITHIN), told)
+
     def _begin(self, id: str, sequence: str, exchange: Exchange, request: Request, ticket: object, returns: int,
                again: Kept | None = None, after: int = 0) -> None:
         """A sequence of stream ``id``; its first, or one that goes on behind a journal."""
@@ -326,3 +352,8 @@
         self.turned_away += 1
         self.log("request turned away", level="info", reason=f"{status} {reason}")
         exchange.reply(status, codec.failure(kind, reason), list(headers))
+
+
+def _later(request: Request, past: int) -> Request:
+    """The request when so many microseconds of its time have passed."""
+    return replace(request, prompt=replace(request.prompt, time_left=max(1, request.prompt.time_left - past)))
--- a/aniserudder/rehearsal/day.py
+++ b/aniserudder/rehearsal/day.py
@@ -124,8 +124,9 @@
     tenants: dict[Name, TenantForm] = Field(default_factory=dict)
     admission: Admission = Admission()
     streams: Streams = Streams()
-    twin: Literal["", "streams", "disk", "recovery"] = Field(
-        "", description="also played without continuation, with writes on the reactor's thread, or with other beliefs at a start")
+    twin: Literal["", "streams", "disk", "recovery", "claims"] = Field(
+        "", description="also played without continuation, with writes on the reactor's thread, with other beliefs at a start, or without claims")
+    claims: bool = Field(True, description="nodes are told which types are claimed; else only clients know, as a baseline")
     recovery: Recovery = Recovery()
     overdraft_tokens: Annotated[int, Field(ge=0)] = 20_000
     links: bool = Field(False, description="a relay stands between each node and the ledger, and the list server")
@@ -146,6 +147,8 @@
                 raise ValueError(f"troubles: {fault.trouble} needs a stand-in's disk: disk is missing")
             if fault.trouble.startswith("link_") and not self.links:
                 raise ValueError(f"troubles: {fault.trouble} needs relays: links is missing")
+            if fault.ledger_old_s and not self.ledger:
+                raise ValueError(f"troubles: ledger_old_s at {fault.at:g} s needs a ledger")
             if fault.at >= self.seconds:
                 raise ValueError(f"troubles: {fault.trouble} at {fault.at:g} s lies past the day's end")
         return self
--- a/aniserudder/rehearsal/plan.py
+++ b/aniserudder/rehearsal/plan.py
@@ -153,7 +153,7 @@
     leaving = _active(day, at, "give_up")
     customers = day.traffic.customers
     customer = chance.choices(list(customers), customers.values())[0] if len(customers) > 1 else next(iter(customers))
-    marked = t.effect == "tokened" or day.traffic.marked > 0 and chance.random() < day.traffic.marked
+    marked = t.effect == "tokened" or t.claimed or day.traffic.marked > 0 and chance.random() < day.traffic.marked
     stranger = day.traffic.strangers > 0 and chance.random() < day.traffic.strangers
     leaves = chance.random() < (leaving[0].share if leaving else day.traffic.leaves)
     # Without returns no chance is drawn for them, so that older days stay as they were.
@@ -164,7 +164,7 @@
               round(abandon * 1000), day.traffic.tries, chance.random() < t.streamed, chance.random(),
               chance.uniform(0.02, 0.3) if leaves else 0.0, backoff, "" if stranger else customer,
               "" if stranger else f"{customer}-key-1", f"op-{number}" if marked else "",
-              t.repeat_window_ms / 1000, away_after_s=0.0 if leaves or stranger else away)
+              t.repeat_window_ms / 1000, comes_again=t.claimed and not stranger, away_after_s=0.0 if leaves or stranger else away)
 
 
 def _between(chance: Random, span: list[float]) -> int:
--- a/aniserudder/rehearsal/report.py
+++ b/aniserudder/rehearsal/report.py
@@ -4,7 +4,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from .audit import RULES, Record, Verdict
+from .audit import RULES, Record, Try, Verdict
 from .bills import Agreement
 from .streams import Account, Streams
 
@@ -97,6 +97,26 @@
             f"{len(at_once.findings)} times)"), share(verdict) < share(at_once)
 
 
+def claims_line(record: Record, verdict: Verdict, without: Record) -> tuple[str, bool]:
+    """Operations that came again with their key, beside the same day without claims. True: one had its effect twice, or none was put to
+    the proof."""
+    def count(of: Record) -> tuple[int, int, int, int]:
+        ops: dict[int, list[Try]] = {}
+        for one in of.tries.values():
+            if one.asked["effect"] == "once-only" and one.asked["key"]:
+                ops.setdefault(one.asked["op"], []).append(one)
+        again = [tries for tries in ops.values() if len(tries) > 1 and any(not t.finals for t in tries[:-1])]
+        ends = [{f["kind"] for t in tries for f in t.finals} for tries in again]
+        good, told = sum("generated" in kinds for kinds in ends), sum("aborted" in kinds and "generated" not in kinds for kinds in ends)
+        return len(again), good, told, sum(sum(t.effects for t in tries) > 1 for tries in ops.values())
+    again, good, told, twice = count(record)
+    others, _, _, others_twice = count(without)
+    broken = len(verdict.broken)
+    return (f"claims: {again} operations came again after no answer: {good} generated, {told} told that they ran or may have, "
+            f"{again - good - told} not decided within their tries; {twice} effects twice (without claims {others_twice}, of {others}); "
+            f"rules: {len(RULES) - broken} kept, {broken} broken"), bool(twice) or not again or not others_twice
+
+
 def show_streams(kept: Account, without: Account, verdict: Verdict, console: Console) -> bool:
     """Both days side by side, and a last line ``streams: X of Y completed (without: Z), ...``. True: it is not as it should be."""
     table = Table(title="streams that lost a writer, with continuation and without", title_justify="left")
--- a/aniserudder/rehearsal/stage.py
+++ b/aniserudder/rehearsal/stage.py
@@ -160,7 +160,7 @@
             "messages": {"listen": {"host": seat.host, "port": seat.port}, "event_names": day.event_names},
             "roster": {"server": self._way(seat, "lists", self.roster.listener.address), "last_list": str(self.folder / f"{seat.name}.list")},
             "kinds": {e.kind: {"role": e.role} for e in day.engines},
-            "types": {n: t.model_dump(exclude=own) | {"models": [n]} for n, t in day.types.items()},
+            "types": {n: t.model_dump(exclude=own) | {"models": [n], "claimed": t.claimed and day.claims} for n, t in day.types.items()},
             "customers": {c: {"keys": [f"{c}-key-1"]} for c in day.traffic.customers},
             "rules": {"answer_margin_ms": rules.answer_margin_ms, "let_go_ms": rules.let_go_ms,
                       "cold_share": rules.cold_share, "cold_ms": rules.cold_ms, "fall_multiple": rules.fall_multiple},
--- a/aniserudder/settings/schema.py
+++ b/aniserudder/settings/schema.py
@@ -47,8 +47,15 @@
     effect: Literal["repeatable", "tokened", "once-only"] = "once-only"
     repeat_group: Literal["all", "zone", "cell"] = "all"
     repeat_window_ms: Millis = 5000
+    claimed: bool = Field(False, description="of once-only types: an operation with a key runs once, whichever node is asked again")
     models: list[str] = Field(default_factory=list, description="model names that stand for this type")
 
+    @model_validator(mode="after")
+    def _claims_fit(self) -> TrafficType:
+        if self.claimed and self.effect != "once-only":
+            raise ValueError("claimed: allowed for once-only types; engines themselves drop repeats of a tokened one")
+        return self
+
 
 class Customer(Part):
     """A customer: the keys that show it, and how many sequences a second lie inside its share, over all nodes."""
@@ -315,6 +322,12 @@
                 raise ValueError(f"tenants.{name}.parent: {tenant.parent!r} is none of tenants")
         return self
 
+    @model_validator(mode="after")
+    def _claims_are_kept(self) -> NodeSettings:
+        if not self.ledger.path and (claimed := [name for name, t in self.types.items() if t.claimed]):
+            raise ValueError(f"types.{claimed[0]}.claimed: needs a ledger, ledger.path is missing")
+        return self
+
     @model_validator(mode="after")
     def _names_meet(self) -> NodeSettings:
         if self.messages.default_type and self.messages.default_type not in self.types:
--- a/aniserudder/standins/client.py
+++ b/aniserudder/standins/client.py
@@ -52,6 +52,7 @@
     key: str = ""                    # marks repeats of a tokened operation
     window_s: float = 0.0            # tokened: for so long repeats are dropped
     asked_at: float = 0.0            # when its first try went out, on the reactor's clock
+    comes_again: bool = False        # its key stands for it at any node: it is tried again whatever became of it
     away_after_s: float = 0.0        # loses its connection so long after the first piece of text, and comes back
 
 
@@ -295,6 +296,7 @@
         harmless = how in ("rejected", "unreachable")  # over budget is not: it would be refused again
         # A once-only operation is tried again only when it is known not to have run.
         again = harmless or how in ("aborted", "lost", "left") and op.effect != "once-only"
+        again = again or op.comes_again and how in ("aborted", "lost", "left", "gave_up")
         # A tokened one has to be through before engines forget its mark.
         if op.effect == "tokened" and not harmless:
             ends = self.reactor.seconds() + op.backoff_s + op.abandon_us / 1e6
--- a/aniserudder/wire/connections.py
+++ b/aniserudder/wire/connections.py
@@ -13,6 +13,31 @@
 
 from .client import ClientConnection
 
+class Collect:
+    """A small exchange whose whole answer is wanted. Status 0: there was none.
+
+    Args:
+        most: bytes of the answer that are kept.
+    """
+
+    __slots__ = ("done", "status", "data", "most")
+
+    def __init__(self, done: Callable[[int, bytes], None], most: int) -> None:
+        self.done, self.status, self.data, self.most = done, 0, b"", most
+
+    def head(self, status: int) -> None:
+        self.status = status
+
+    def body(self, data: bytes) -> None:
+        self.data = (self.data + data)[:self.most]
+
+    def complete(self) -> None:
+        self.done(self.status, self.data)
+
+    def lost(self, reason: str, malformed: bool) -> None:
+        self.done(0, b"")
+
+
 NO_DESCRIPTOR = "no descriptor is left"
 AGES = 16              # octaves of milliseconds that a connection may have been idle
 HALF_LIFE_S = 20.0     # in which what was seen of an age counts half
@@ -152,6 +177,35 @@
 
         endpoint.connect(factory).addCallbacks(made, not_made)
 
+    def ask(self, name: str, method: str, path: str, body: bytes, most: int, within: float,
+            done: Callable[[int, bytes], None]) -> None:
+        """One small exchange within so many seconds. ``done`` is called once; status 0: it did not come off."""
+        over, made = False, None
+
+        def finish(status: int, data: bytes) -> None:
+            nonlocal over
+            if not over:
+                over = True
+                timer.active() and timer.cancel()
+                done(status, data)
+
+        def late() -> None:
+            if made:
+                made.drop()
+            finish(0, b"")
+
+        timer = self.reactor.callLater(within, late)
+
+        def ready(connection: ClientConnection) -> None:
+            nonlocal made
+            if over:
+                return self.free(connection)
+            made = connection
+            if not connection.ask(method, path, [], body, Collect(finish, most)):
+                finish(0, b"")
+
+        self.connected(name, ready, lambda reason: finish(0, b""))
+
     def kept(self, place: Place) -> ClientConnection | None:
         """An idle connection that can still be used, newest first; what cannot is closed."""
         now = self.reactor.seconds()
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -51,6 +51,9 @@
         self.term = max(self.term, at_least) + 1
         return self.term
 
+    def shipped(self, node):
+        return 0
+
     def keep_leases(self, rows, dropped=()):
         self.rows = {k: r for k, r in self.rows.items() if r[0] not in dropped}
         for r in rows:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -28,7 +28,7 @@
         self.engine, self.reads, self.state, self.seq_id, self.ordinal, self.time_out = engine, reads, state, seq, ordinal, 0
         body = {"model": "note", "max_tokens": 6, "messages": [{"role": "user", "content": f"hello there [ref {seq}]"}]}
         self.request = Request(Prompt("note", "", "", 10, 0, 6, 0, 1), body)
-        self.pieces, self.outcome, self.got = [], None, None
+        self.pieces, self.outcome, self.got, self.send_by = [], None, None, 0
 
     def continues(self, at, digest):
         self.joined = at, digest
@@ -189,13 +189,13 @@
 class Site:
     """A node with stand-ins, all on this reactor."""
 
-    def __init__(self, engines, names="", more="", **limits):
+    def __init__(self, engines, names="", more="", types=None, **limits):
         self.engines = engines
         rows = [Row(engine=e.spec.name, address=e.address("any"), kind=e.spec.kind, zone="any") for e in engines]
         self.roster = StandinRoster(reactor, rows, Witness(reactor), lambda e, node: next(
             x.address("any") for x in engines if x.spec.name == e))
         text = "\n".join([
-            "zone: any", f"messages: {{listen: {{port: 0}}{names}}}", KINDS, TYPES, more,
+            "zone: any", f"messages: {{listen: {{port: 0}}{names}}}", KINDS, types or TYPES, more,
             f"roster: {{server: '{self.roster.listener.address}', again_ms: 100}}",
             f"limits: {msgspec.json.encode({'connect_ms': 200, **limits}).decode()}"])
         self.logged = []
