Budgets: most nodes' word counts, rolling ones hold over nodes, names are told apart

Cause: the ledger took each node's word. Asks' `most` was taken as it came (service.py, `grantor.most = ask.most`), the node named the period, a rolling budget's newest bucket passed for a new period (a budget of 600 in 60 s was granted 2,985), two processes of one name ended each other's lives at every ask, and a node whose disk was lost began its entries at one again, which the ledger passed over as known: on no bill.

--- a/aniserudder/cli/fleet.py
+++ b/aniserudder/cli/fleet.py
@@ -57,11 +57,12 @@
             console.print(f"ledger {ledger}: {found}", highlight=False)
             return True
         console.print(f"ledger {ledger}: term {found['term']}, {found['phase']}, {found['told']} nodes have told"
-                      + (", its file was older than what they hold" if found["old"] else ""), highlight=False)
+                      + (", its file was older than what they hold" if found["old"] else "")
+                      + (f", waits for entries of {', '.join(found['behind'])}" if found["behind"] else ""), highlight=False)
         table = Table(title="budgets", title_justify="left")
-        for name in ("budget", "most", "out", "held by nodes", "of lives that ended", "known only by hearsay"):
+        for name in ("budget", "most", "out", "held by nodes", "of lives that ended", "known only by hearsay", "other settings"):
             table.add_column(name, justify="left" if name == "budget" else "right")
         for budget in found["budgets"]:
-            table.add_row(budget["budget"], *(str(budget[k]) for k in ("most", "out", "held", "ended", "hearsay")))
+            table.add_row(budget["budget"], *(str(budget[k]) for k in ("most", "out", "held", "ended", "hearsay", "dissent")))
         console.print(table)
     return bad
--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -18,6 +18,7 @@
     from ..rehearsal import audit as judge
     from ..rehearsal.day import Day
     from ..rehearsal.outage import Outage
+    from ..tenants.authority import Form
 
 
 class Plain(click.Group):
@@ -206,6 +207,11 @@
         last, worse = report.disk_line(verdict, at_once_too)
         click.echo(last)
         differs = differs or worse
+    if form.shares:
+        from ..rehearsal import shares
+        last, worse = shares.line(shares.used(ran.lines, form.tenants, form.overdraft_tokens), len(verdict.broken))
+        click.echo(last)
+        differs = differs or worse
     if without_claims is not None:
         last, worse = report.claims_line(seen, verdict, without_claims)
         click.echo(last)
@@ -625,6 +631,35 @@
     sys.exit(1 if beyond else 0)
 
 
+@measure.command("evidence")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--nodes", default="3,30,140", show_default=True, help="Numbers of nodes, by commas.")
+def measure_evidence(seed: int, nodes: str) -> None:
+    """What one wrong node does to a budget that all share: nodes believed, and what they say weighed (simulated time)."""
+    from rich.console import Console
+    from rich.table import Table
+
+    from ..measure.evidence import table
+    try:
+        sizes = tuple(int(n) for n in nodes.split(","))
+    except ValueError:
+        fail(f"--nodes: found {nodes!r}, expected numbers by commas")
+    if not sizes or min(sizes) < 1 or max(sizes) > 400:
+        fail(f"--nodes: found {nodes!r}, allowed: 1 to 400")
+    found = table(seed, sizes)
+    shown = Table(title="% of the budget: overspent / falsely refused / unused", title_justify="left")
+    for name in ("case", "nodes believed", "weighed", "overdrafts allow"):
+        shown.add_column(name, justify="left" if name == "case" else "right")
+    for case, *both in found:
+        shown.add_row(case.name, *(f"{100 * f.overspent:.1f} / {100 * f.refused:.1f} / {100 * f.unused:.1f}" for f in both),
+                      f"{100 * both[1].bound:.1f}")
+    Console(width=118).print(shown)
+    beyond = [case.name for case, _, weighed in found if weighed.overspent > weighed.bound]
+    before = [case.name for case, believed, _ in found if believed.overspent > believed.bound]
+    click.echo(f"evidence: {len(found) - len(beyond)} of {len(found)} cases within what overdrafts allow (nodes believed {len(found) - len(before)})")
+    sys.exit(1 if beyond else 0)
+
+
 @measure.command("ledger")
 @click.option("--sequences", default="1000,10000,50000", show_default=True, help="Lengths, by commas.")
 @click.option("--durability", type=click.Choice(["process", "power"]), default="process", show_default=True)
@@ -756,8 +791,12 @@
 @click.option("--host", default="127.0.0.1", show_default=True)
 @click.option("--port", default=8090, show_default=True)
 @click.option("--durability", type=click.Choice(["process", "power"]), default="process", show_default=True)
-def ledger_serve(path: str, host: str, port: int, durability: str) -> None:
+@click.option("--settings", "file", type=click.Path(dir_okay=False), help="A node's settings whose tenants count, whatever nodes say; SIGHUP reads them anew.")
+def ledger_serve(path: str, host: str, port: int, durability: str, file: str | None) -> None:
     """Run the ledger service on the file PATH until a signal."""
+    import signal
+    import time
+
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
@@ -769,17 +808,43 @@
         ground, log = _ground(), logs.make("ledger")
         store = Store(path, durability == "power", ground.files)
         writer = AtOnce() if ground.at_once else Writer(reactor, log)
-        service = LedgerService(reactor, store, log, writer.lane("ledger", store.group), wall=lambda: round(ground.wall() * 1e6))
+        service = LedgerService(reactor, store, log, writer.lane("ledger", store.group), wall=lambda: round(ground.wall() * 1e6),
+                                forms=_budget_forms(file) if file else None, steady=time.monotonic)
         service.start(host, port)
     except (LedgerBroken, LedgerFull) as broken:
         fail(f"{path}: {broken}".replace(f"{path}: {path}: ", f"{path}: "))
     except CannotListenError as taken:
         fail(f"{host}:{port}: {taken.socketError.strerror}")
+
+    def reload() -> None:
+        try:
+            service.reload(_budget_forms(file))
+        except BadSettings as wrong:
+            log("reload refused", level="error", reason=wrong.problems[0])
+    if file:
+        signal.signal(signal.SIGHUP, lambda number, frame: reactor.callFromThread(reload))
     reactor.run()
     service.stop()
     writer.join(1.0)
 
 
+def _budget_forms(file: str) -> dict[str, Form]:
+    """Budgets by name, as a node's settings have them.
+
+    Raises:
+        BadSettings: they cannot be used.
+    """
+    from ..settings import load, load_tenants
+    from ..tenants.authority import Form
+    from ..tenants.tree import Tree
+    settings = load(file)
+    try:
+        tree = Tree(settings.tenants | load_tenants(settings.tenants_file))
+    except ValueError as wrong:
+        raise BadSettings([f"{file}: {wrong}"]) from None
+    return {b.name: Form.read(b.most, b.period.value, b.window, b.offset_minutes) for t in tree.tenants.values() for b in t.budgets}
+
+
 @ledger.command("check")
 @click.argument("path", type=click.Path(dir_okay=False))
 def ledger_check(path: str) -> None:
@@ -807,7 +872,7 @@
     if not Path(path).exists():
         fail(f"{path}: No such file or directory")
     try:
-        rows, folded = Store(path).compact(round((time.time() - older_than_s) * 1e6), 10_000_000, node)
+        rows, folded = Store(path, True, _ground().files).compact(round((time.time() - older_than_s) * 1e6), 10_000_000, node)
     except (LedgerBroken, LedgerFull) as broken:
         fail(str(broken))
     click.echo(f"{path}: {folded} operations folded, {rows} entries fewer")
--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import os
+import time
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
@@ -138,7 +139,7 @@
         except ValueError as wrong:
             raise BadSettings([str(wrong)]) from None
         if self.books:
-            self.books.keeper.replant(tree, self.books.wall())
+            self.books.keeper.replant(tree, self.books.time())
         self.messages.gate.reload(settings.admission)
         self.log("reloaded", level="info", reason=f"{len(tree.tenants)} tenants, {len(settings.admission.prefixes)} prefixes")
 
@@ -249,9 +250,9 @@
         raise BadSettings([str(wrong)]) from None
     keeper = Keeper(tree, ledger.overdraft_tokens if ledger.service else 0,
                     lambda budget, spent: log("soft mark passed", level="warning", reason=f"{budget.name}: {spent} spent"),
-                    alone=not ledger.service)
+                    alone=not ledger.service, steady=time.monotonic)
     patience = micros(ledger.patience_ms)
     rules = Rules(ledger.when_full, ledger.lease_ms / 1000, ledger.tell_s, service=ledger.service, patience=patience,
                   patience_held=min(patience, round(micros(settings.rules.let_go_ms) * HELD_PART)))
     return Books(reactor, settings.node, store, keeper, rules, log, pool.ask_usage,
-                 lambda: round(ground.wall() * 1e6), lane=writer.lane("ledger", store.group))
+                 lambda: round(ground.wall() * 1e6), lane=writer.lane("ledger", store.group), steady=time.monotonic)
--- a/aniserudder/ledger/books.py
+++ b/aniserudder/ledger/books.py
@@ -26,7 +26,9 @@
 from ..durable import Inline, Kind, Lane, State
 from ..tenants.billing import Try, Work, charge
 from ..tenants.keeper import Account, Keeper, Refusal
+from ..tenants.authority import Hand
 from ..tenants.shares import Lease
+from ..tenants.windows import WindowLease, rolled, rolling
 from ..wire.client import ClientConnection
 from .claimant import Claimant
 from .entries import Ended, Entry, Row, Sent, Shipment, Taken, Told
@@ -37,6 +39,7 @@
 SHIP_MOST = 500       # entries in one shipment
 ASK_PENDING = 64      # attempts that are asked for at a time
 BEAT_S = 0.5          # a node that holds a lease shows itself to the ledger so often, in case that one has started anew
+OVER_S = 5.0          # seconds between asks of a process whose name another one has
 SAY_EVERY = 1.0       # seconds between lines on entries that could not be written
 BAD = (State.SLOW, State.FAILING, State.CLOSED)
 _encode, _dict = msgspec.json.Encoder().encode, msgspec.json.Decoder(dict[str, Any]).decode
@@ -176,14 +179,15 @@
         wall: whole microseconds of wall time.
         life: names this start of the node to the ledger service.
         lane: writes ``store``, which nobody else may touch while it does.
+        steady: seconds of a clock that never jumps; by default the reactor's.
     """
 
     def __init__(self, reactor: IReactorTCP, node: str, store: Store, keeper: Keeper, rules: Rules,
                  log: Callable[..., None], ask_usage: Callable[..., None], wall: Callable[[], int] | None = None,
-                 life: str = "", lane: Lane | Inline | None = None) -> None:
+                 life: str = "", lane: Lane | Inline | None = None, steady: Callable[[], float] | None = None) -> None:
         self.reactor, self.node, self.store, self.keeper, self.rules, self.log = reactor, node, store, keeper, rules, log
         self.ask_usage = ask_usage
-        self.wall = wall or (lambda: time.time_ns() // 1000)
+        self.wall, self.steady = wall or (lambda: time.time_ns() // 1000), steady or reactor.seconds
         self.life = life or os.urandom(6).hex()
         self.lane = lane or Inline(store.group)
         self.last, self.upto = store.last, store.shipped(node)  # as far as the disk has told
@@ -206,6 +210,9 @@
         self._timers: list[IDelayedCall] = []
         self.engines: MeteredEngines | None = None
         self.claims: Claimant | None = None
+        self.hand = Hand()        # how far this clock has to be moved for budgets
+        self.over = False         # another process has this node's name
+        self._number, self._sent_at, self._quiet_until = 0, 0, 0.0
 
     def start(self) -> None:
         """Takes up what a former life left open, and begins to lease and ship."""
@@ -233,6 +240,10 @@
         """Whether all is told, written and shipped."""
         return not self.waiting and self.lane.quiet and (not self.rules.service or self.upto >= self.last)
 
+    def time(self) -> int:
+        """What time it is for budgets: as the ledger has it, once it was heard."""
+        return self.hand.time(self.wall(), self.steady())
+
     # The way of a sequence.
 
     def reserve(self, seq: str, request: Request) -> Refusal | None:
@@ -242,7 +253,7 @@
             return Refusal("ledger", "", 0, 0, 0, 0)
         prompt = request.prompt
         mark = request.mark or _digest(request)
-        refusal = self.keeper.reserve(seq, prompt.customer, mark, prompt.tokens, prompt.max_output, self.wall())
+        refusal = self.keeper.reserve(seq, prompt.customer, mark, prompt.tokens, prompt.max_output, self.time())
         if refusal is None:
             at = self.wall()
             one = Try(self.node, seq, mark, bool(request.mark), prompt.customer, prompt.traffic_type, at)
@@ -310,7 +321,7 @@
         ended = Ended(seq, self.wall(), final)
         self._write([known.taken, ended] if known.taken else [ended])
         # A read that is still on its way to be told is charged as estimated; the bill itself waits for the engine.
-        self.keeper.settle(seq, sum(w.read for w in served), sum(w.written for w in served), self.wall())
+        self.keeper.settle(seq, sum(w.read for w in served), sum(w.written for w in served), self.time())
 
     # What ran.
 
@@ -395,25 +406,30 @@
             return
         now, asks, returns = self.reactor.seconds(), [], []
         for account in self.keeper.accounts.values():
-            wanted = account.part.ask(now) if isinstance(account.part, Lease) else 0
+            wanted, of = account.part.ask(now) if isinstance(account.part, Lease) else 0, account.budget
             if wanted:
-                (asks if wanted > 0 else returns).append(
-                    Ask(account.budget.name, account.budget.most, account.spent.begin, abs(wanted), account.part.used))
+                (asks if wanted > 0 else returns).append(Ask(of.name, of.most, account.spent.begin, abs(wanted), account.part.used,
+                                                             of.period.value, of.window, of.offset_minutes))
         behind = self.upto < self.last
         beat = self._tells or now - self._beat >= BEAT_S and (self.claims is not None and self.claims.granted > 0 or any(
             isinstance(a.part, Lease) and a.part.leased for a in self.keeper.accounts.values()))
         leases = bool(asks or returns or beat)
         self._ships = behind and (not leases or not self._ships)  # in turn, so that neither starves the other
-        if leases and not self._ships:
+        if leases and not self._ships and now >= self._quiet_until:
             self._beat = now
-            for back in returns:  # before they are told: if that gets lost they are wasted, and never granted twice
-                self.keeper.accounts[back.budget].part.returned(back.wanted)
-            self._request("/v1/lease", _encode(Asks(self.node, self.life, asks, returns, self.term, self._tells,
-                                                    self._holds() if self._tells else [], self.last)),
-                          lambda s, b: self._granted(asks, s, b))
-        elif behind:
-            for ask in asks:
-                self.keeper.accounts[ask.budget].part.unanswered()
+            for one in returns:  # before they are told: if that gets lost they are wasted, and never granted twice
+                self.keeper.accounts[one.budget].part.returned(one.wanted)
+            for account in self.keeper.accounts.values():
+                if isinstance(account.part, WindowLease):
+                    returns += [Ask(account.budget.name, 0, bucket, amount, 0) for bucket, amount in account.part.goes_back()]
+            self._number += 1
+            sent, self._sent_at = Asks(self.node, self.life, asks, returns, self.term, self._tells, self._holds() if self._tells else [],
+                                       self.last, self._number, self.wall(), self.store.file), self.steady()
+            self._request("/v1/lease", _encode(sent), lambda s, b: self._granted(asks, s, b))
+            return
+        for ask in asks:
+            self.keeper.accounts[ask.budget].part.unanswered()
+        if behind:
             self._busy = True
             self.lane.put(Kind.SHIPPED, lambda store, after=self.upto: (after, store.after(after, SHIP_MOST)), self._ship)
 
@@ -423,11 +439,17 @@
             return
         after, bodies = found
         rows = [Row(n, msgspec.Raw(body)) for n, body in bodies]
-        self._request("/v1/entries", _encode(Shipment(self.node, after, rows)), self._shipped)
+        self._request("/v1/entries", _encode(Shipment(self.node, after, rows, self.store.file, self.life)), self._shipped)
 
     def _granted(self, asks: list[Ask], status: int, body: bytes) -> None:
         reply = _reply(body) if status == 200 else Reply()
-        if reply.term:
+        if reply.now:
+            self.hand.heard(reply.now, self._sent_at, self.steady())
+        if reply.say == "over":
+            self._is_over()
+        elif reply.say == "again":
+            self._again()
+        elif reply.term and reply.say != "late":
             self.term, self._tells = reply.term, reply.say == "tell"
             if not self._tells:
                 self.on_term()
@@ -441,12 +463,33 @@
             if grant is None or grant.begin != account.spent.begin:
                 account.part.unanswered()
             else:
+                if isinstance(account.part, WindowLease):
+                    account.part.notes(grant.bucket, grant.granted)
                 account.part.granted(grant.granted, grant.left, self.reactor.seconds())
                 self._keep(account, grant)
 
+    def _is_over(self) -> None:
+        """Another process has this node's name: what this one holds counts as used, and it is granted nothing more."""
+        if not self.over:
+            self.log("another process has this node's name", level="error", reason=f"{self.node}: leases and claims go to it; end one of the two")
+        self.over, self._quiet_until = True, self.reactor.seconds() + OVER_S
+
+    def _again(self) -> None:
+        """The other process is gone: this one goes on in a new life, with nothing of what it held."""
+        self.over, self.life = False, os.urandom(6).hex()
+        for account in self.keeper.accounts.values():
+            if isinstance(account.part, Lease):
+                account.part.anew()
+        self.log("this node has its name for itself again", level="warning", reason=f"life {self.life}")
+
     def _keep(self, account: Account, grant: Grant) -> None:
         """What was granted, for the node's next life and for a ledger that has forgotten it."""
         budget, begin, part = account.budget.name, grant.begin, account.part
+        if isinstance(part, WindowLease):
+            self.outs[budget] = grant.bucket, grant.out
+            row = budget, grant.bucket, self.node, rolled(self.life, grant.bucket, part.window), part.log[grant.bucket], 0, True
+            self.lane.put(Kind.LEARNED, lambda store: store.keep_leases([row]), name=f"lease {budget} {grant.bucket}")
+            return
         known = self.outs.get(budget, (begin, 0))
         self.outs[budget] = begin, max(grant.out, known[1] if known[0] == begin else 0)
         row = budget, begin, self.node, self.life, part.leased, part.used, False
@@ -454,15 +497,23 @@
 
     def _holds(self) -> list[Hold]:
         """What this life and former ones were granted."""
-        holds = [Hold(budget, begin, life, leased) for budget, begin, _, life, leased, _, _ in self.former]
+        holds = []
+        for budget, begin, _, life, leased, _, _ in self.former:
+            part = rolling(life)
+            holds.append(Hold(budget, begin, part[0], leased, 0, part[1]) if part else Hold(budget, begin, life, leased))
         for account in self.keeper.accounts.values():
-            if isinstance(account.part, Lease) and account.part.leased:
-                name, begin = account.budget.name, account.spent.begin
-                out = self.outs.get(name, (0, 0))
-                holds.append(Hold(name, begin, self.life, account.part.leased, out[1] if out[0] == begin else 0))
+            name, begin, part = account.budget.name, account.spent.begin, account.part
+            out = self.outs.get(name, (0, 0))
+            if isinstance(part, WindowLease):
+                newest = max(part.log, default=0)
+                holds += [Hold(name, bucket, self.life, n, out[1] if bucket == newest else 0, part.window) for bucket, n in part.log.items()]
+            elif isinstance(part, Lease) and part.leased:
+                holds.append(Hold(name, begin, self.life, part.leased, out[1] if out[0] == begin else 0))
         return holds
 
     def _shipped(self, status: int, body: bytes) -> None:
+        if status == 410:
+            self._is_over()
         if status in (200, 409):  # 409: the service's file was restored from an older copy, so they go again from there
             self.upto = upto = int(_dict(body)["upto"])
             self.lane.put(Kind.SHIPPED, lambda store: store.acknowledged(self.node, upto))
--- a/aniserudder/ledger/entries.py
+++ b/aniserudder/ledger/entries.py
@@ -61,10 +61,12 @@
 
 
 class Shipment(msgspec.Struct):
-    """Entries on their way to the ledger service, in order."""
+    """Entries on their way to the ledger service, in order. ``file`` names the file that numbers them, ``life`` the process that ships."""
     node: str
     after: int
     rows: list[Row]
+    file: str = ""
+    life: str = ""
 
 
 def put_together(rows: Iterable[tuple[str, Entry]]) -> dict[str, Try]:
--- a/aniserudder/ledger/store.py
+++ b/aniserudder/ledger/store.py
@@ -7,6 +7,7 @@
 """
 from __future__ import annotations
 
+import os
 import sqlite3
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
@@ -18,6 +19,7 @@
 import xxhash
 
 from ..durable import Files
+from ..tenants.windows import rolling
 from ..tenants.billing import KEY_FOR, Folded, Line, Price, Tokens, Try, bill, operations
 from . import claims, entries
 from .claims import Answer, Claim, Place, Row
@@ -108,7 +110,8 @@
                 self._db.executescript(f"BEGIN;{SCHEMA}INSERT INTO meta VALUES ('form', '{FORM}'), ('base', '');COMMIT;")
             self._db.execute(LIVES)
             self._db.executescript(CLAIMS)
-            found = self._meta("form")
+            self._db.execute("INSERT OR IGNORE INTO meta VALUES ('file', ?)", (os.urandom(8).hex(),))
+            found, self.file = self._meta("form"), self._meta("file")
         except (sqlite3.Error, OSError) as problem:
             raise LedgerBroken(f"{path}: {problem}") from None
         if found != FORM:
@@ -132,16 +135,17 @@
         """
         return self._write([(node, 0, entries.encode(e), e) for e in fresh])
 
-    def receive(self, node: str, after: int, rows: Iterable[tuple[int, bytes]]) -> int:
+    def receive(self, node: str, after: int, rows: Iterable[tuple[int, bytes]], file: str = "") -> int:
         """Writes entries that another node ships, which follow its entry ``after``; those that came before are passed
-        over. Returns how far it has them.
+        over. Returns how far it has them. ``file`` names the file whose numbers they have: a node whose disk was lost begins anew at one.
 
         Raises:
             LedgerFull: they could not be written.
             Missing: some are missing before them; they have to come again from ``shipped`` on.
             ValueError: one cannot be read.
         """
-        upto = self.shipped(node)
+        source = self._source(node, file, after)
+        upto = self.shipped(source)
         if after > upto:
             raise Missing(f"{node}: entries after {after} came, and only those up to {upto} are here", upto)
         fresh = []
@@ -151,10 +155,22 @@
             fresh.append((node, number, body, entries.decode(body)))
             upto = number
         if fresh:
-            self._write(fresh, upto)
+            self._write(fresh, upto, source)
         return upto
 
-    def _write(self, fresh: list[tuple[str, int, bytes, Entry]], upto: int = 0) -> int:
+    def _source(self, node: str, file: str, after: int) -> str:
+        """Under which name it is kept how far a node's entries are here. What was shipped before files had names was of the file that goes on
+        from there."""
+        if not file:
+            return node
+        before = self.shipped(node)
+        if before and before == after and not self.shipped(f"{node}/{file}"):
+            with self.together() as db:
+                db.execute("INSERT OR REPLACE INTO shipped VALUES (?, ?)", (f"{node}/{file}", before))
+                db.execute("DELETE FROM shipped WHERE node = ?", (node,))
+        return f"{node}/{file}"
+
+    def _write(self, fresh: list[tuple[str, int, bytes, Entry]], upto: int = 0, source: str = "") -> int:
         with self.together() as db:
             for node, number, body, entry in fresh:
                 self._last += 1
@@ -166,7 +182,7 @@
                     db.execute("DELETE FROM pending WHERE seq = ? AND ordinal = ?", (entry.seq, entry.ordinal))
                 self._fold(node, entry)
             if upto:
-                db.execute("INSERT OR REPLACE INTO shipped VALUES (?, ?)", (fresh[0][0], upto))
+                db.execute("INSERT OR REPLACE INTO shipped VALUES (?, ?)", (source or fresh[0][0], upto))
         return self._last
 
     @contextmanager
@@ -224,11 +240,16 @@
         """Number of the newest entry."""
         return self._last
 
-    def shipped(self, node: str) -> int:
-        """How far this ledger has another node's entries; for its own, how far they were shipped."""
+    def shipped(self, node: str, file: str = "") -> int:
+        """How far this ledger has another node's entries, of that file; for its own, how far they were shipped."""
+        node = f"{node}/{file}" if file else node
         row = self._db.execute("SELECT upto FROM shipped WHERE node = ?", (node,)).fetchone()
         return row[0] if row else 0
 
+    def shippers(self) -> set[str]:
+        """Nodes of whom something is among the newest entries: they may have sent what this file, if it is an older one, does not have."""
+        return {node for (node,) in self._db.execute("SELECT DISTINCT node FROM log WHERE no > ? AND node != ''", (self._last - TAIL,))}
+
     def acknowledged(self, node: str, upto: int) -> None:
         """The ledger service has this node's entries up to there."""
         with self.together() as db:
@@ -404,12 +425,13 @@
         for budget, begin, *_ in rows:
             newest[budget] = max(begin, newest.get(budget, 0))
         kept = [(budget, begin, node, life, leased, used, True) for budget, begin, _, life, leased, used, _ in rows
-                if begin == newest[budget] and life]
+                if life and begin >= newest[budget] - 2 * (rolling(life) or ("", 0))[1]]
         self.keep_leases(kept, list(newest))
         return kept
 
-    def keep_leases(self, rows: list[LeaseRow], dropped: list[str] = ()) -> None:
-        """Writes leases before they are told: a grant that was forgotten would be granted twice.
+    def keep_leases(self, rows: list[LeaseRow], dropped: list[str] = (), aged: list[tuple[str, int]] = ()) -> None:
+        """Writes leases before they are told: a grant that was forgotten would be granted twice. ``aged``: rolling budgets, and their first
+        bucket that still counts.
 
         Raises:
             LedgerFull: they could not be written.
@@ -418,6 +440,8 @@
             for budget in dropped:
                 db.execute("DELETE FROM lease WHERE budget = ?", (budget,))
                 db.execute("DELETE FROM lives WHERE budget = ?", (budget,))
+            for budget, first in aged:
+                db.execute("DELETE FROM lives WHERE budget = ? AND begin < ?", (budget, first))
             db.executemany("INSERT OR REPLACE INTO lease VALUES (?, ?, ?, ?, ?, ?, 0)", [r[:6] for r in rows if not r[6]])
             db.executemany("INSERT OR REPLACE INTO lives VALUES (?, ?, ?, ?, ?)", [r[:5] for r in rows if r[6]])
 
--- a/aniserudder/rehearsal/day.py
+++ b/aniserudder/rehearsal/day.py
@@ -21,7 +21,7 @@
                   "answer_lost", "give_up", "burst", "heavy_tail", "hot_key", "refuse", "reset_before", "reset_after",
                   "garble", "roster_away", "role_swap", "ledger_crash", "flood",
                   "trickle", "disk_slow", "disk_full", "disk_read_only", "disk_stuck", "frozen", "power_loss",
-                  "link_silent", "link_slow", "link_reset", "link_cut", "link_never"]
+                  "slow_words", "clock_off", "old_settings", "same_name", "link_silent", "link_slow", "link_reset", "link_cut", "link_never"]
 
 
 class DayRules(Part):
@@ -86,12 +86,14 @@
     kinds: list[Name] = Field(default_factory=list)
     zone: str = ""
     rack: int | None = None
-    size: Annotated[float, Field(gt=0)] = Field(2.0, description="of disk_slow: milliseconds of a flush")
+    size: Annotated[float, Field(gt=0)] = Field(
+        2.0, description="of disk_slow: milliseconds of a flush; of slow_words: seconds; of clock_off: seconds ahead; of old_settings: times the budgets")
     ledger: bool = Field(False, description="of disks, power and frozen processes: the ledger is struck too")
     to: Literal["ledger", "lists"] = Field("ledger", description="of links: from the nodes struck to that process")
     way: Literal["both", "there", "back"] = Field("both", description="of link_silent: in which direction")
     nodes: bool = Field(True, description="of power: nodes are struck")
     ledger_old_s: Seconds = Field(0, description="of power: the ledger's file comes back as it was so long before; 0: as it was")
+    lists_old_s: Seconds = Field(0, description="of power: the list server comes back with what it knew so long before, and hears of its engines five seconds later")
     wall_off_s: float = Field(0, description="of power: by how much the wall clocks of those struck are wrong afterwards, either way")
     last: Literal["", "ledger", "lists"] = Field("", description="of power: that one is back two seconds after all others")
     spread_s: Seconds = Field(0, description="of power: it comes back to each process within so long, drawn by the seed")
@@ -126,6 +128,7 @@
     streams: Streams = Streams()
     twin: Literal["", "streams", "disk", "recovery", "claims"] = Field(
         "", description="also played without continuation, with writes on the reactor's thread, with other beliefs at a start, or without claims")
+    shares: bool = Field(False, description="budgets that run out are held against what engines wrote")
     claims: bool = Field(True, description="nodes are told which types are claimed; else only clients know, as a baseline")
     recovery: Recovery = Recovery()
     overdraft_tokens: Annotated[int, Field(ge=0)] = 20_000
@@ -143,7 +146,7 @@
             for kind in fault.kinds:
                 if kind not in kinds:
                     raise ValueError(f"troubles: kind {kind!r} is none of engines' ({', '.join(sorted(kinds))})")
-            if fault.trouble.startswith(("disk_", "power_")) and self.disk is None:
+            if fault.trouble.startswith(("disk_", "power_", "clock_")) and self.disk is None:
                 raise ValueError(f"troubles: {fault.trouble} needs a stand-in's disk: disk is missing")
             if fault.trouble.startswith("link_") and not self.links:
                 raise ValueError(f"troubles: {fault.trouble} needs relays: links is missing")
--- a/aniserudder/rehearsal/plan.py
+++ b/aniserudder/rehearsal/plan.py
@@ -73,6 +73,7 @@
 
 
 ON_NODES = {"balancer_crash", "node_stop", "frozen", "disk_slow", "disk_full", "disk_read_only", "disk_stuck", "power_loss",
+            "clock_off", "old_settings", "same_name",
             "link_silent", "link_slow", "link_reset", "link_cut", "link_never"}
 ON_TRAFFIC = {"burst", "heavy_tail", "hot_key", "give_up", "roster_away", "ledger_crash"}
 ON_A_ZONE = {"zone_cut", "flood"}
--- a/aniserudder/rehearsal/stage.py
+++ b/aniserudder/rehearsal/stage.py
@@ -40,6 +40,7 @@
 READY_WITHIN = 20.0   # seconds for the nodes to listen
 EXIT_WITHIN = 15.0    # seconds for a node to stop in order
 SWAP_S = 0.3          # seconds from an engine's end in its old role to its start in the new one
+LISTS_HEAR_S = 5.0    # seconds until a list server that came back old has heard of its engines
 HOLDS_SETTLE = 0.6    # seconds after the last node's end, for releases under way
 
 
@@ -265,6 +266,8 @@
             self.reactor.callLater(strike.fault.at, self._try_to_strike, strike)
             if strike.fault.ledger_old_s:
                 self.reactor.callLater(max(0.0, strike.fault.at - strike.fault.ledger_old_s), self._copy_ledger)
+            if strike.fault.lists_old_s:
+                self.reactor.callLater(max(0.0, strike.fault.at - strike.fault.lists_old_s), self._copy_lists)
         for second in range(5, int(self.day.seconds), 5):
             self.reactor.callLater(second, self._progress, second)
         # The nodes are stopped while some sequences are still under way: a stop has to answer them.
@@ -351,6 +354,8 @@
                 self._while(engines, fault.seconds, "stall", True)
             case "trickle":
                 self._while(engines, fault.seconds, "trickle", fault.size)
+            case "slow_words":
+                self._while(engines, fault.seconds, "slow_words", fault.size)
             case "slow":
                 self._while(engines, fault.seconds, "slow", fault.size)
             case "answer_lost":
@@ -378,6 +383,15 @@
                 self._ill(strike, flush_ms=fault.size)
             case "disk_full" | "disk_read_only" | "disk_stuck":
                 self._ill(strike, trouble=fault.trouble.removeprefix("disk_").replace("_", "-"))
+            case "clock_off":
+                self._ill(strike, wall_off_s=fault.size)
+            case "old_settings":
+                for seat in (s for s in self.seats if s.name in strike.nodes):
+                    self._reload(seat, fault.size)
+                    later(fault.seconds, self._reload, seat, 1.0)
+            case "same_name":
+                for seat in (s for s in self.seats if s.name in strike.nodes):
+                    self._double(seat, fault.seconds)
             case "frozen":
                 for process in [self.processes[n] for n in strike.nodes] + [self.ledger] * (fault.ledger and self.ledger is not None):
                     self._freeze(process, fault.seconds)
@@ -412,6 +426,33 @@
             self._disk(name, **now)
             self.reactor.callLater(strike.fault.seconds, self._disk, name)
 
+    def _reload(self, seat: NodeSeat, times: float) -> None:
+        """Its settings have so many times the budgets by now, and it reads them anew."""
+        path, process = self.folder / f"{seat.name}.yaml", self.processes[seat.name]
+        form = yaml.safe_load(path.read_text())
+        for name, tenant in self.day.tenants.items():
+            for mine, budget in zip(form["tenants"][name]["budgets"], tenant.budgets):
+                mine["tokens"] = round(budget.tokens * times)
+        path.write_text(yaml.safe_dump(form))
+        if process.transport and process.transport.pid:
+            process.transport.signalProcess("HUP")
+
+    def _double(self, seat: NodeSeat, seconds: float) -> None:
+        """Another process of the same name, on a port and with a disk of its own: somebody copied the settings. No client knows of it."""
+        form = yaml.safe_load((self.folder / f"{seat.name}.yaml").read_text())
+        form["messages"]["listen"]["port"], form["record"] = free_port(), ""
+        form["ledger"]["path"] = str(self.folder / f"{seat.name}.double")
+        form["roster"]["last_list"] = ""
+        path = self.folder / f"{seat.name}.double.yaml"
+        path.write_text(yaml.safe_dump(form))
+        process = NodeProcess(f"{seat.name}.double", (self.folder / f"{seat.name}.double.log").open("ab", buffering=0))
+        self.reactor.spawnProcess(process, sys.executable, [sys.executable, "-m", "aniserudder", "serve", str(path)], env=os.environ)
+
+        def end() -> None:
+            if process.transport and process.transport.pid:
+                process.transport.signalProcess("KILL")
+        self.reactor.callLater(seconds, end)
+
     def _freeze(self, process: NodeProcess, seconds: float) -> None:
         """SIGSTOP, and SIGCONT later: it goes on as if no time had passed."""
         if not process.transport or not process.transport.pid:
@@ -441,6 +482,21 @@
         self.witness.note("ledger_restored")
         return code
 
+    def _copy_lists(self) -> None:
+        self._lists = dict(self.roster.rows), self.roster.epoch
+
+    def _restore_lists(self) -> None:
+        """Its file was an older one; what engines tell it later are changes on top of that."""
+        rows, self.roster.epoch = self._lists
+        self.roster.rows = dict(rows)
+        self.witness.note("lists_restored", epoch=self.roster.epoch)
+
+        def hear() -> None:
+            for engine in self.engines.values():
+                if not engine.down and engine.spec.name in self.roster.rows:
+                    self.roster.change(engine.spec.name, availability="running", started_at=engine.started_at)
+        self.reactor.callLater(LISTS_HEAR_S, hear)
+
     def _lose_power(self, strike: Strike) -> None:
         """All that was struck is dead at once, and what it had not flushed is gone in part."""
         fault, back = strike.fault, strike.back
@@ -455,8 +511,11 @@
                 self._dark(process)
                 if fault.ledger_old_s:
                     process.ended.addCallback(self._restore_ledger)
+        if fault.ledger or fault.lists_old_s:
             self.roster.away(back["lists"])
             self.reactor.callLater(back["lists"], self.witness.note, "roster_back")
+        if fault.lists_old_s:
+            self.reactor.callLater(back["lists"] - 0.01, self._restore_lists)
         for name in strike.engines:
             self._down(self.engines[name], fault, back[name])
 
--- a/aniserudder/standins/disk.py
+++ b/aniserudder/standins/disk.py
@@ -64,6 +64,11 @@
             number = errno.ENOSPC if trouble == "full" else errno.EROFS
             raise OSError(number, os.strerror(number))
 
+    @property
+    def wall_off_s(self) -> float:
+        """By how much the wall clock is wrong now."""
+        return self._now().wall_off_s
+
     def flush(self) -> None:
         """Takes as long as a flush takes now."""
         self.about_to_write()
@@ -305,7 +310,7 @@
     from ..cli import main
     files = FaultyFiles(script)
     form = files.platter.script
-    main(command, obj=Ground(files, lambda: time.time() + form.wall_off_s, form.boot, form.at_once))
+    main(command, obj=Ground(files, lambda: time.time() + files.platter.wall_off_s, form.boot, form.at_once))
 
 
 if __name__ == "__main__":
--- a/aniserudder/tenants/keeper.py
+++ b/aniserudder/tenants/keeper.py
@@ -5,13 +5,16 @@
 """
 from __future__ import annotations
 
+import time
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from .periods import Spent
-from .shares import FixedPart, Lease
+from .authority import CLOCK_SLACK
+from .periods import BUCKETS, Period, Spent
+from .shares import FixedPart, Lease, Lot
 from .tree import Budget, Tree
+from .windows import WindowLease
 
 MARKS_KEPT = 20_000  # operations that a node remembers as charged
 
@@ -47,7 +50,7 @@
     tenant: str
     mark: str
     amounts: dict[str, int]                 # by kind
-    accounts: list[tuple[Account, int]] = field(default_factory=list)
+    accounts: list[tuple[Account, int, Lot]] = field(default_factory=list)  # how much, and what it came from
 
 
 class Keeper:
@@ -58,11 +61,12 @@
         overdraft: tokens of each budget that may be used while no lease comes.
         on_soft: told of a budget of which the soft mark was passed.
         alone: this node has the budgets for itself: no ledger is asked.
+        steady: seconds, for leases that end by themselves.
     """
 
     def __init__(self, tree: Tree, overdraft: int, on_soft: Callable[[Budget, int], None] | None = None,
-                 alone: bool = False) -> None:
-        self.tree, self.overdraft, self.alone = tree, overdraft, alone
+                 alone: bool = False, steady: Callable[[], float] = time.monotonic) -> None:
+        self.tree, self.overdraft, self.alone, self.steady = tree, overdraft, alone, steady
         self.on_soft = on_soft or (lambda budget, spent: None)
         self.accounts: dict[str, Account] = {}
         self.open: dict[str, Reservation] = {}
@@ -75,8 +79,13 @@
         account = self.accounts.get(budget.name)
         if account is None:
             part = FixedPart(budget.most) if self.alone else Lease(self.overdraft)
+            if budget.period is Period.ROLLING and not self.alone:
+                part = WindowLease(self.overdraft, valid=budget.window / BUCKETS / 1e6, window=budget.window, clock=self.steady)
             account = self.accounts[budget.name] = Account(
                 budget, part, Spent(budget.period, budget.window, budget.offset_minutes))
+        if account.spent.begin > now + CLOCK_SLACK:  # begun by a clock that was far ahead: what is owed is still owed
+            account.spent = Spent(budget.period, budget.window, budget.offset_minutes)
+            account.spent.turn(now)
         before = account.spent.total
         if account.spent.turn(now):
             account.warned = False
@@ -104,7 +113,7 @@
                     renews = account.spent.renews(now)
                     return Refusal(budget.name, budget.kind, amount, left, renews, max(0, renews - now))
                 account.reserved += amount
-                made.accounts.append((account, amount))
+                made.accounts.append((account, amount, account.part.lot))
         self.open[seq] = made
         return None
 
@@ -122,11 +131,11 @@
             self.charged.move_to_end(key)
             while len(self.charged) > MARKS_KEPT:
                 self.charged.popitem(last=False)
-        for account, reserved in made.accounts:
+        for account, reserved, lot in made.accounts:
             kind = account.budget.kind
             due = max(0, ran[kind] - paid.get(kind, 0))
             account.reserved -= reserved
-            account.part.give(reserved - due, now)
+            account.part.give(reserved - due, now, lot)
             account.spent.turn(now)
             account.spent.add(due)
             self._soft(account)
@@ -143,9 +152,9 @@
                 account.budget = budget
 
     def _free(self, made: Reservation, now: int) -> None:
-        for account, amount in made.accounts:
+        for account, amount, lot in made.accounts:
             account.reserved -= amount
-            account.part.give(amount, now)
+            account.part.give(amount, now, lot)
 
     def _soft(self, account: Account) -> None:
         if not account.warned and account.spent.total >= account.budget.soft * account.budget.tokens:
--- a/aniserudder/tenants/shares.py
+++ b/aniserudder/tenants/shares.py
@@ -21,20 +21,32 @@
 SEEN_FOR = 10.0      # seconds that a node counts among those that share
 
 
+Lot = tuple[float, int]    # of a rolling budget: by when a grant is over, in steady seconds, and the ledger's bucket of it
+NO_LOT: Lot = (0.0, 0)
+
+
+def fair(wanted: int, left: int, most: int, part: float) -> int:
+    """What one lease may be, for a node with that part of what all need."""
+    return max(0, min(wanted, max(round(LEASE_PART * left * part), round(LEAST_PART * most), 1), left))
+
+
 class Part(Protocol):
-    """What one node may grant of one budget."""
+    """What one node may grant of one budget. ``lot``: what the last taken amount came from."""
+    lot: Lot
 
     def take(self, amount: int, now: float) -> bool:
         """Takes an amount for a reservation, whole or not at all."""
 
-    def give(self, amount: int, now: float) -> None:
-        """Gives back what a reservation did not need; a negative amount is an overrun that already happened."""
+    def give(self, amount: int, now: float, lot: Lot = NO_LOT) -> None:
+        """Gives back what a reservation did not need; a negative amount is an overrun that already happened. ``lot``: as it was when
+        that was taken."""
 
 
 @dataclass(slots=True)
 class FixedPart:
     """The budget by the number of nodes. Overspend: none but overruns. Falsely refused: whatever is uneven."""
     room: int
+    lot: Lot = NO_LOT
 
     def take(self, amount: int, now: float) -> bool:
         if amount > self.room:
@@ -42,7 +54,7 @@
         self.room -= amount
         return True
 
-    def give(self, amount: int, now: float) -> None:
+    def give(self, amount: int, now: float, lot: Lot = NO_LOT) -> None:
         self.room += amount
 
 
@@ -54,6 +66,7 @@
     own: int = 0
     all_spent: int = 0       # as last heard
     own_then: int = 0        # own spending when that was said
+    lot: Lot = NO_LOT
 
     def heard(self, all_spent: int, own_then: int) -> None:
         self.all_spent, self.own_then = all_spent, own_then
@@ -65,7 +78,7 @@
         self.own += amount
         return True
 
-    def give(self, amount: int, now: float) -> None:
+    def give(self, amount: int, now: float, lot: Lot = NO_LOT) -> None:
         self.own -= amount
 
 
@@ -89,6 +102,7 @@
     pause: float = -1.0      # not asked again before; of a budget that is spent little comes back
     asked: float = 0.0       # when
     late: float = 0.0        # how long the ledger takes to answer, lately
+    lot: Lot = NO_LOT
 
     def take(self, amount: int, now: float) -> bool:
         self.largest = max(self.largest, amount)
@@ -99,7 +113,7 @@
         self.since += amount
         return True
 
-    def give(self, amount: int, now: float) -> None:
+    def give(self, amount: int, now: float, lot: Lot = NO_LOT) -> None:
         self.room += amount
         self.used -= amount
 
@@ -146,6 +160,10 @@
         """The ledger did not answer."""
         self.wanted = 0
 
+    def anew(self) -> None:
+        """A new life of this process: what the last one held counts as used; what it overdrew is still owed."""
+        self.room, self.used, self.wanted = min(0, self.room), 0, 0
+
     def renewed(self) -> None:
         """A new period: what was leased of the old one is void, what was overdrawn of it is not carried over."""
         self.room, self.used, self.spent_out, self.wanted, self.pause = 0, 0, False, 0, -1.0
@@ -209,6 +227,10 @@
         """A node was told, before this term, that so much was out in all."""
         self.floor = max(self.floor, out)
 
+    def parts(self) -> tuple[int, int]:
+        """What present lives of nodes hold, and what former ones were granted."""
+        return sum(h.leased for h in self.held.values()), sum(self.ended.values())
+
     def rebase(self) -> None:
         """A new term begins in which what the last one leased is something of before."""
         self.floor = max(self.old, self.floor) + self.fresh
@@ -233,8 +255,7 @@
         sharing = sum(now - at < SEEN_FOR for at in self.seen.values())
         # A busy node needs more of what is left than an even part: it gets by its part of what all have used.
         part = max(1 / sharing, mine.used / max(1, sum(h.used for h in self.held.values())))
-        fair = max(round(LEASE_PART * left * part), round(LEAST_PART * self.most), 1)
-        grant = max(0, min(wanted, fair, left))
+        grant = fair(wanted, left, self.most, part)
         mine.leased += grant
         self.fresh += grant
         return grant, self.most - self.out
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -389,10 +389,13 @@
         def new_term(self, at_least=0):
             return 5
 
-        def shipped(self, node):
+        def shipped(self, node, file=""):
             return self.upto
 
-        def keep_leases(self, rows, dropped=()):
+        def shippers(self):
+            return {"n2", "n3"}
+
+        def keep_leases(self, rows, dropped=(), aged=()):
             pass
 
         def claim(self, ask, settled, wall):
@@ -413,6 +416,8 @@
         return replies[0]
     assert said() is Said.WAIT
     clock.now += WINDOW / S + 0.1
+    assert said() is Said.WAIT and tells(3).upto == -1 and said() is Said.WAIT  # the file knows of another node that has not told
+    clock.now += CATCH_UP / S
     assert said() is Said.GO and tells(3).upto == -1 and said() is Said.GO
     assert tells(7).upto == -1 and said() is Said.WAIT
     paper.upto = 7
@@ -422,7 +427,7 @@
     clock.now += CATCH_UP / S + 0.1
     assert said() is Said.GO
     ledger.lease(Asks("n2", "life", term=str(Term(9, "y"))), clock.now, lambda reply, problem: heard.append(reply.say))
-    assert heard[-1] == "tell" and said() is Said.WAIT and tells(12).upto == 7  # it is old: what it lacks has to come again
+    assert heard[-1] == "tell" and said() is Said.WAIT and ledger.unheard == {"n2"} and tells(12).upto == 7  # it is old: what it lacks has to come again
     clock.now += OLD_WINDOW / S + 0.1
     assert said() is Said.WAIT
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -292,7 +292,7 @@
         await sleep(0.05)
         old, _ = service("old", port)  # the copy is as old as can be: empty
         view = await s.ask(ref="a2")
-        await until(lambda: view.over and old.store.shipped("node") == s.node.books.store.last)
+        await until(lambda: view.over and old.store.shipped("node", s.node.books.store.file) == s.node.books.store.last)
         operations = whole(old.store)["", "note"][0]
         await s.close()
         old.stop()
