An older list is evidence: it makes no cold engine warm and ends no drain

Cause: epochs of the engine list were kept and never compared (Follower._take, `self.epoch = news.epoch`). A list server that came back from the dark with its file of some seconds before told old starts, and every node took engines that had just started for warm ones.

Change: roster/older.py decides (no I/O): where both name an engine the later start and the drain hold; whom only the older list names is asked itself first; after 30 s a source that is still lower counts anew. Rows keep the starts that engines said of themselves. Stand-ins: a list server that comes back old, engines slow to say how they are, and they no longer say that they are up since 1970.

New process tests: power lost during compaction at six drawn points (old books or new, bills the same), a zone dark while engines take two seconds to speak and a second loss of all.

--- a/aniserudder/roster/follow.py
+++ b/aniserudder/roster/follow.py
@@ -21,7 +21,8 @@
 from ..recovery.trust import Since, of_list
 from ..settings.schema import RosterSource, Row
 from ..wire.client import ClientConnection
-from . import cache, codec
+from . import cache, codec, older
+from .older import Lists, Order
 
 CLOCK_OFF = 5.0   # seconds by which a wall clock may differ from the list server's before that one is believed
 PROMPT = 2.0      # seconds from a connection's making within which its first line says what time it is
@@ -50,12 +51,17 @@
         self.ascent, self.keeping, self.lane = ascent, keeping or cache.Keeping("", Ground()), lane or Inline()
         self.router, self.locate, self.source, self.reactor, self.log = router, locate, source, reactor, log
         self.rows: dict[str, Row] = {}
-        self.epoch = 0
+        self.lists = Lists()
         self.heard_at = 0.0  # on the router's clock; 0: never
         self._offset = reactor.seconds() - self.keeping.ground.wall()
         self._timer: IDelayedCall | None = None
         self._stopped = False
 
+    @property
+    def epoch(self) -> int:
+        """Of the newest list that is known."""
+        return self.lists.epoch
+
     def start(self) -> None:
         """Asks the disk for the last list and the source for what holds, whichever answers first."""
         if self.source.last_list:
@@ -86,9 +92,8 @@
             usable, cold = believed.usable, not believed.starts
             if usable:
                 self._take(news, keep=False, cold=cold)
-                if cold and self.asks and self.ask_up:
-                    for delay, engine in self.asks.plan(row.engine for row in news.rows if row.availability == "running"):
-                        self.reactor.callLater(delay / 1e6, self._ask_engine, engine)
+                if cold:
+                    self._ask_engines([row.engine for row in news.rows if row.availability == "running"])
             self.log("started from the last list" if usable else "last list not used", level="info",
                      reason=f"{len(news.rows)} engines, {'cold until confirmed, ' if cold else ''}{believed.reason}")
         self.ascent.read(usable, cold, self._now())
@@ -97,6 +102,12 @@
         if not self._stopped:
             self._timer = self.reactor.callLater(after_ms / 1000, self._ask)
 
+    def _ask_engines(self, engines: list[str]) -> None:
+        """Asks each since when it is up, spread over the fleet."""
+        if self.asks and self.ask_up:
+            for delay, engine in self.asks.plan(engines):
+                self.reactor.callLater(delay / 1e6, self._ask_engine, engine)
+
     def _ask_engine(self, engine: str) -> None:
         """One that counts as cold because nobody has said otherwise: it knows itself since when it is up."""
         row = self.rows.get(engine)
@@ -106,15 +117,22 @@
         def said(up_s: object) -> None:
             started = self.asks.said(engine, up_s, self.router.now())
             if started is not None and not self._stopped and engine in self.rows:
-                self.router.roster([replace(codec.told(self.rows[engine], self._offset), started_at=started)], False)
+                at = self._on_list(started)
+                row = self.lists.confirmed(engine, at) or self.rows[engine].model_copy(update={"started_at": at})
+                self.rows[engine] = row
+                self.router.roster([replace(codec.told(row, self._offset), started_at=started)], False)
                 if not self.asks.open:
                     self.ascent.engines_told(max(self.asks.confirmed.values()) + self.ascent.bounds.warm, self._now())
             elif self.asks.open.get(engine):
                 self.reactor.callLater(AGAIN / 1e6, self._ask_engine, engine)
         self.ask_up(engine, said)
 
-    def _take(self, news: codec.News, keep: bool = True, cold: bool = False) -> None:
-        """``cold``: every engine counts as started now, whatever the list says."""
+    def _on_list(self, started: int) -> float:
+        """A start on the router's clock, as a row has it; a little earlier, as a start that moved on by rounding would pass for a restart."""
+        return (started - 2) / 1e6 - self._offset
+
+    def _take(self, news: codec.News, keep: bool = True, cold: bool = False, doubted: bool = False) -> None:
+        """``cold``: every engine counts as started now, whatever the list says. ``doubted``: its source may not know what holds."""
         self.heard_at = self.reactor.seconds()
         if news.complete:
             self.rows = {}
@@ -123,11 +141,13 @@
             self.locate(row.engine, row.address)
         told = [codec.told(r, self._offset) for r in news.rows]
         if cold:
-            told = [replace(row, started_at=self.router.now()) for row in told]
+            now = self.router.now()
+            told = [replace(row, started_at=now) for row in told]
+            self.rows = {name: row.model_copy(update={"started_at": self._on_list(now)}) for name, row in self.rows.items()}
         self.router.roster(told, news.complete)
         self.rows = {name: row for name, row in self.rows.items() if row.availability != "gone"}
-        self.epoch = news.epoch
-        if not cold and (keep or not self.source.last_list):
+        self.lists.epoch = max(self.lists.epoch, news.epoch)
+        if not cold and not doubted and (keep or not self.source.last_list):
             started = max((r.started_at for r in self.rows.values()), default=0.0)
             warm = round((started + self._offset) * 1e6) + self.ascent.bounds.warm if started else 0
             if self.asks:
@@ -227,7 +247,7 @@
                 if line.strip():
                     news = codec.decode(line)
                     self._set_clock(news)
-                    self._take(news)
+                    self._in_order(news)
             if len(self._rest) > LINE_MOST:
                 raise codec.BadLine("a line is too long")
         except codec.BadLine as wrong:
@@ -235,6 +255,29 @@
             self._connection.drop()
             self._away(f"a line cannot be used: {wrong}")
 
+    def _in_order(self, news: codec.News) -> None:
+        """Takes a list or a change; one that is older than what is known, as evidence only."""
+        now, before = self._now(), self.lists.older_since
+        order = self.lists.judge(news, now)
+        if order is Order.NEWER:
+            return self._take(news)
+        if order is Order.ANEW:
+            self.log("list server counts anew", level="warning", reason=f"epoch {news.epoch} for {older.OLDER_FOR // 1_000_000} s and more")
+            return self._take(self.lists.careful(news, self.rows))
+        if before < 0:
+            self.log("list is older than what is known", level="warning", reason=f"epoch {news.epoch}, {self.epoch} is known: the more careful of the two holds")
+            self.reactor.callLater(older.OLDER_FOR / 1e6 + 0.1, self._ask_for_all)
+        known = set(self.lists.doubtful)
+        rows = self.lists.merged(news, self.rows)
+        self._take(codec.News(self.epoch, False, rows), keep=False, doubted=True)
+        self._ask_engines(sorted(set(self.lists.doubtful) - known))
+
+    def _ask_for_all(self) -> None:
+        """The source is still older: its whole list is asked for, to be taken as a new one."""
+        if not self._stopped and self.lists.due(self._now()) and self._connection:
+            self._connection.drop()
+            self._again(0)
+
     def _set_clock(self, news: codec.News) -> None:
         """Engines' starts are told on the server's wall clock. Where this machine's is far from that, cold engines would pass for
         warm ones, or all for cold. Only a connection's first line is fresh enough to say so."""
--- a/aniserudder/standins/engine.py
+++ b/aniserudder/standins/engine.py
@@ -26,6 +26,7 @@
 from .witness import Witness
 from .words import length, word
 
+LONG_UP_S = 86_400.0           # what one says that has been up for longer than anybody remembers
 FETCH_S = 1.5                  # a fetch that takes longer has failed
 CHARS_PER_TOKEN = 4.3          # its own tokenizer, not the router's estimate
 REF = re.compile(r"\[ref ([\w./-]+)\]")
@@ -68,6 +69,7 @@
     draining: bool = False
     garble: str = ""               # "half line", "long line", "noise"
     trickle: float = 0.0           # seconds between the tokens of every stream, in place of its pace
+    slow_words: float = 0.0        # seconds that it takes to say how it is, and what an attempt ran
     forced: str = ""               # of a forced beginning: "ignores" it, "lies" about it, "repeats" its last words
 
 
@@ -231,12 +233,24 @@
             return self._release(exchange)
         if exchange.path == "/v1/kv/take":
             return self._take(exchange)
-        if exchange.path == "/v1/status":
+        if self.faults.slow_words and exchange.path.startswith(("/v1/status", "/v1/usage?")):
+            self.reactor.callLater(self.faults.slow_words, self._tell, exchange)
+        elif exchange.path.startswith(("/v1/status", "/v1/usage?")):
+            self._tell(exchange)
+        else:
+            self._generate(exchange)
+
+    def _tell(self, exchange: Exchange) -> None:
+        """How it is, or what an attempt ran."""
+        if self.down or not exchange.open:
+            return
+        if exchange.path.startswith("/v1/status"):
             return exchange.reply(200, _encode({"inflight": len(self.running) + len(self.waiting) + len(self.held),
                                                 "x0": self._memory_used() / self.spec.memory,
-                                                "up_s": round(self.wall() - self.started_at, 3)}))
-        if exchange.path.startswith("/v1/usage?"):
-            return self._tell_usage(exchange)
+                                                "up_s": round(self.wall() - self.started_at, 3) if self.started_at else LONG_UP_S}))
+        self._tell_usage(exchange)
+
+    def _generate(self, exchange: Exchange) -> None:
         if exchange.path != "/v1/chat/completions":
             return exchange.reply(404, b"{}")
         try:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -19,6 +19,7 @@
 
 from aniserudder.daemon import RunningNode
 from aniserudder.durable import Inline
+from aniserudder.ledger.entries import Ended, Sent, Taken, Told
 from aniserudder.ledger.service import Ask, Asks, Hold, LedgerService
 from aniserudder.ledger.store import Store
 from aniserudder.recovery import snapshot
@@ -29,6 +30,7 @@
 from aniserudder.roster import codec
 from aniserudder.settings import load_text
 from aniserudder.settings.schema import Row
+from aniserudder.standins import disk
 from aniserudder.standins.relay import Bad, Relay
 from aniserudder.tenants.shares import Grantor
 from stand import on_loop, sleep, until
@@ -51,10 +53,13 @@
         self.term = max(self.term, at_least) + 1
         return self.term
 
-    def shipped(self, node):
+    def shipped(self, node, file=""):
         return 0
 
-    def keep_leases(self, rows, dropped=()):
+    def shippers(self):
+        return set()
+
+    def keep_leases(self, rows, dropped=(), aged=()):
         self.rows = {k: r for k, r in self.rows.items() if r[0] not in dropped}
         for r in rows:
             self.rows[(r[0], r[2], r[3] if r[6] else "", r[6])] = r
@@ -578,3 +583,55 @@
     seen = on_loop(scene)
     assert seen["there"] == (b"a", b"a") and seen["back"] == (b"abc", b"ab") and seen["slow"] > 0.06
     assert seen["cut"] == 7 and seen["never"] == (b"", False, False)  # 13 bytes had passed before
+
+
+# The ledger's file loses power while it is compacted.
+
+@pytest.mark.parametrize("seed", range(6))
+def test_power_lost_during_compaction_leaves_the_old_books_or_the_new(tmp_path, seed):
+    """A process of the program compacts; it is killed when it has written a drawn part, and what it had not flushed is gone in part."""
+    path, script, journal = tmp_path / "c", tmp_path / "script", tmp_path / "loose"
+    store = Store(path, True)
+    for n in range(150):
+        told = [Told(f"s{n}", 0, "generated", 7, 3, n)] if n % 10 else []
+        store.append([Taken(f"s{n}", n * S, f"t{n % 3}", "draft", f"m{n}"), Sent(f"s{n}", 0, "e", estimate=5, most=99), *told,
+                      Ended(f"s{n}", n * S + 1, "generated")], "n1")
+    bill = lambda s: [(b.tenant, b.operations, b.charged.row()) for b in s.bill(0, 1 << 62, [], 0, "operator")]  # noqa: E731
+    before, pending = bill(store), store.pending()
+    store.close()
+    chance = Random(seed)
+    disk.play(script, disk.Script(flush_ms=2, journal=str(journal)))
+    child = subprocess.Popen([sys.executable, "-m", "aniserudder.standins.disk", str(script), "ledger", "compact", str(path), "--older-than-s", "0"],
+                             stdout=subprocess.PIPE, text=True)
+    wanted, end = chance.randrange(1_000, 160_000), time.monotonic() + 8
+    while child.poll() is None and time.monotonic() < end and (not journal.exists() or journal.stat().st_size < wanted):
+        time.sleep(0.0005)
+    child.kill()
+    said = child.communicate()[0]
+    if journal.exists():
+        disk.lose_power(journal, chance)
+    again = Store(path)
+    assert bill(again) == before and again.pending() == pending
+    rows = again.verify().rows
+    assert rows in (45 + 15 * 3, 15 * 3) or rows >= 150 * 3, rows
+    assert "operations folded" not in said or rows < 150 * 3  # what it had said to be done is done
+    again.close()
+
+
+# A zone goes dark while all engines are slow to speak of themselves, and all nodes once more while it comes back.
+ZONE = DARK[:DARK.index("troubles:")] + """troubles:
+  - {at: 2.5, trouble: slow_words, part: 1, size: 2, seconds: 6}
+  - {at: 3, trouble: power_loss, zone: west, part: 1, kinds: [prefill, decode], ledger: false, wall_off_s: 3600, seconds: 0.4, spread_s: 0.5}
+  - {at: 5, trouble: power_loss, part: 1, ledger: true, ledger_old_s: 2.5, seconds: 0.4, spread_s: 0.5}
+"""
+
+
+def test_a_zone_goes_dark_and_engines_are_slow_to_say_how_they_are(tmp_path):
+    """Nobody waits for what they say: nodes serve within their bounds, engines that have not spoken counting as cold."""
+    ran, kept, lines = dark(tmp_path, ZONE, 6)
+    lost = max(x["at"] for x in lines if x["what"] == "power_lost")
+    first = min(x["at"] for x in lines if x["what"] == "answered" and x["kind"] == "generated" and x["at"] > lost)
+    assert first - lost < 4 * S, (first - lost) / S
+    logs = "".join(p.read_text() for p in kept.glob("node-*.log"))
+    assert "cold until confirmed" in logs and "attempts of a former life are asked for" in logs
+    assert spent(kept) <= 700 + 400 * sum(x["what"] == "node_started" for x in lines)
