Every node shows itself to the ledger; stand-ins keep their ports while they are down

Change: a node asks the ledger every half second whatever it holds. Stand-ins draw ports below the kernel's range and hold a name for each. The fleet's page and /v1/ready say where another process has a node's name.

--- a/aniserudder/cli/fleet.py
+++ b/aniserudder/cli/fleet.py
@@ -28,7 +28,7 @@
 
 
 def show(nodes: list[str], ledger: str, within: float, fail: Callable[[str], None]) -> bool:
-    """Asks all at the same time and prints a table. True: one does not take sequences, or does not answer."""
+    """Asks all at the same time and prints a table. True: one does not take sequences or does not answer, or its name is another's."""
     for address in [*nodes, *[ledger] * bool(ledger)]:
         host, colon, port = address.rpartition(":")
         if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
@@ -47,7 +47,9 @@
                 bad = True
                 continue
             bad = bad or not one.get("ready")
-            table.add_row(address, str(one.get("node", "-")), "yes" if one.get("ready") else "no", str(one.get("stage", "-")),
+            taken = " (another process has this name)" if one.get("name_taken") else ""
+            bad = bad or bool(taken)
+            table.add_row(address, str(one.get("node", "-")) + taken, "yes" if one.get("ready") else "no", str(one.get("stage", "-")),
                           str(one.get("for_s", "-")), str(one.get("engines", "-")), "yes" if one.get("heard") else "no",
                           str(one.get("term") or "-"), str(one.get("turned_away", "-")))
         console.print(table)
--- a/aniserudder/ledger/books.py
+++ b/aniserudder/ledger/books.py
@@ -38,7 +38,7 @@
 PROVEN = frozenset({Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT})  # nothing ran
 SHIP_MOST = 500       # entries in one shipment
 ASK_PENDING = 64      # attempts that are asked for at a time
-BEAT_S = 0.5          # a node that holds a lease shows itself to the ledger so often, in case that one has started anew
+BEAT_S = 0.5          # a node shows itself to the ledger so often: one that has started anew waits for what nodes hold and have yet to ship
 OVER_S = 5.0          # seconds between asks of a process whose name another one has
 SAY_EVERY = 1.0       # seconds between lines on entries that could not be written
 BAD = (State.SLOW, State.FAILING, State.CLOSED)
@@ -411,8 +411,7 @@
                 (asks if wanted > 0 else returns).append(Ask(of.name, of.most, account.spent.begin, abs(wanted), account.part.used,
                                                              of.period.value, of.window, of.offset_minutes))
         behind = self.upto < self.last
-        beat = self._tells or now - self._beat >= BEAT_S and (self.claims is not None and self.claims.granted > 0 or any(
-            isinstance(a.part, Lease) and a.part.leased for a in self.keeper.accounts.values()))
+        beat = self._tells or now - self._beat >= BEAT_S
         leases = bool(asks or returns or beat)
         self._ships = behind and (not leases or not self._ships)  # in turn, so that neither starves the other
         if leases and not self._ships and now >= self._quiet_until:
--- a/aniserudder/messages/server.py
+++ b/aniserudder/messages/server.py
@@ -226,7 +226,7 @@
         ascent, now = self.ascent, round(self.clock.seconds() * 1_000_000)
         good = not self.stopping and (not ascent or ascent.takes)
         said = {"ready": good, "node": self.settings.node, "stage": "stopping" if self.stopping else ascent.stage.value if ascent else "serving",
-                "engines": sum(e.listed for e in self.router.node.engines.values()), "term": self.books.term if self.books else ""}
+                "engines": sum(e.listed for e in self.router.node.engines.values()), "term": self.books.term if self.books else "", "name_taken": bool(self.books and self.books.over)}
         if ascent:
             said |= {"for_s": round((now - ascent.since) / 1_000_000, 1), "heard": ascent.heard, "turned_away": ascent.turned_away}
         exchange.reply(200 if good else 503, codec.msgspec.json.encode(said))
--- a/aniserudder/rehearsal/stage.py
+++ b/aniserudder/rehearsal/stage.py
@@ -30,10 +30,10 @@
 from ..standins import disk
 from ..standins.client import Clients, Front, NodeSeat
 from ..standins.engine import Repeats, StandinEngine
+from ..standins.ports import PORTS
 from ..standins.relay import Bad, Relay
 from ..standins.roster import StandinRoster
 from ..standins.witness import Witness
-from ..wire.text import free_port
 from .day import Day, Fault
 from .plan import Plan, Strike
 
@@ -119,14 +119,14 @@
         self.roster = StandinRoster(reactor, rows, self.witness,
                                     lambda engine, node: self.engines[engine].address(plan.nodes.get(node, "")),
                                     wall=self.wall)
-        self.seats = [NodeSeat(n, z, "127.0.0.1", free_port()) for n, z in plan.nodes.items()]
+        self.seats = [NodeSeat(n, z, "127.0.0.1", PORTS.draw()) for n, z in plan.nodes.items()]
         self.front = Front(reactor, self.seats, day.traffic.front_notice_ms / 1000)
         slack = round((rules.answer_slack_ms + rules.seen_slack_ms) * 1000) + 200_000
         self.clients = Clients(reactor, self.front, self.witness, slack, Vocabulary(day.event_names))
         self._power = Random(f"{seed} power")
         self._wall_off: dict[str, float] = {}
         self._boots: dict[str, int] = {}  # how often each lost power
-        self.ledger_port = free_port()
+        self.ledger_port = PORTS.draw()
         self.relays: dict[tuple[str, str], Relay] = {}
         if day.links:
             there = {"ledger": ("127.0.0.1", self.ledger_port), "lists": ("127.0.0.1", self.roster.listener.port)}
@@ -440,7 +440,7 @@
     def _double(self, seat: NodeSeat, seconds: float) -> None:
         """Another process of the same name, on a port and with a disk of its own: somebody copied the settings. No client knows of it."""
         form = yaml.safe_load((self.folder / f"{seat.name}.yaml").read_text())
-        form["messages"]["listen"]["port"], form["record"] = free_port(), ""
+        form["messages"]["listen"]["port"], form["record"] = PORTS.draw(), ""
         form["ledger"]["path"] = str(self.folder / f"{seat.name}.double")
         form["roster"]["last_list"] = ""
         path = self.folder / f"{seat.name}.double.yaml"
--- a/aniserudder/standins/listener.py
+++ b/aniserudder/standins/listener.py
@@ -9,9 +9,10 @@
 from collections.abc import Callable
 
 from twisted.internet.defer import Deferred, maybeDeferred, succeed
-from twisted.internet.interfaces import IListeningPort, IReactorTCP
+from twisted.internet.interfaces import IListeningPort, IReactorCore, IReactorTCP
 
 from ..wire.server import Bounds, Exchange, ServerConnection, ServerFactory
+from .ports import PORTS
 
 FILLERS = 4  # connections that fill a queue of length 0
 
@@ -76,6 +77,8 @@
     def open(self) -> None:
         """Listens (again)."""
         if self._port is None and not self.cut_off:
+            if not self.port and IReactorCore.providedBy(self.reactor):  # a simulated network has ports of its own
+                self.port = PORTS.draw()
             self._port = self.reactor.listenTCP(self.port, self.factory, interface=self.host, backlog=512)
             self.port = self._port.getHost().port
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -7,7 +7,7 @@
 import pytest
 from click.testing import CliRunner
 from hypothesis import given, settings as examples, strategies as st
-from twisted.internet import reactor
+from twisted.internet import reactor, threads
 from twisted.internet.task import Clock as Time
 
 from aniserudder.cli import main
@@ -402,14 +402,16 @@
         service.over["node", s.node.books.life] = None
         view = await s.ask(headers=[("x-api-key", "key-of-t-1")])
         await until(lambda: view.over and s.node.books.over)
+        shown = await threads.deferToThread(lambda: CliRunner().invoke(main, ["fleet", "%s:%s" % s.node.address]))
         life, status = s.node.books.life, view.status
         service.lives["node"] = "newer", 1, "", service.steady() - GONE_S
         await until(lambda: s.node.books.life != life and s.node.books.quiet)
         shipped = service.store.shipped("node", s.node.books.store.file)
         await s.close()
         service.stop()
-        return status, [e for e, _ in s.logged], shipped
-    status, logged, shipped = on_loop(scene)
+        return status, [e for e, _ in s.logged], shipped, shown
+    status, logged, shipped, shown = on_loop(scene)
+    assert shown.exit_code == 1 and "another process" in shown.stdout
     assert status == 200 and "another process has this node's name" in logged and "this node has its name for itself again" in logged and shipped
 
 
