A node may hold budgets ahead, for when the ledger is away

Change: ledger.ahead_s (0: as before). A node holds up to so many seconds of its use over the last five, at most ten times its part of what the ledger has left, hears twice a second what that is, and returns what is more; so near the end nothing lies idle. All of it was granted: the bound on overspending does not move.

--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -622,8 +622,8 @@
         shown.add_column(way, justify="right")
     for name, _, ways in found:
         shown.add_row(name, *(f"{100 * w.overspent:.2f} / {100 * w.refused:.2f} / {100 * w.unused:.2f}"
-                              + (f" ({100 * w.bound:.1f})" if w.way == "leases" else "") for w in ways))
-    Console(width=118).print(shown)
+                              + (f" ({100 * w.bound:.1f})" if w.way in ("leases", "ahead") else "") for w in ways))
+    Console(width=140).print(shown)
     if picture:
         plot(found, picture)
     beyond = [name for name, _, ways in found for w in ways if w.overspent > w.bound]
--- a/aniserudder/daemon/node.py
+++ b/aniserudder/daemon/node.py
@@ -250,7 +250,7 @@
         raise BadSettings([str(wrong)]) from None
     keeper = Keeper(tree, ledger.overdraft_tokens if ledger.service else 0,
                     lambda budget, spent: log("soft mark passed", level="warning", reason=f"{budget.name}: {spent} spent"),
-                    alone=not ledger.service, steady=time.monotonic)
+                    alone=not ledger.service, steady=time.monotonic, ahead=ledger.ahead_s)
     patience = micros(ledger.patience_ms)
     rules = Rules(ledger.when_full, ledger.lease_ms / 1000, ledger.tell_s, service=ledger.service, patience=patience,
                   patience_held=min(patience, round(micros(settings.rules.let_go_ms) * HELD_PART)))
--- a/aniserudder/ledger/books.py
+++ b/aniserudder/ledger/books.py
@@ -405,13 +405,13 @@
         if not self.rules.service or self._busy:
             return
         now, asks, returns = self.reactor.seconds(), [], []
+        beat = self._tells or now - self._beat >= BEAT_S
         for account in self.keeper.accounts.values():
             wanted, of = account.part.ask(now) if isinstance(account.part, Lease) else 0, account.budget
-            if wanted:
-                (asks if wanted > 0 else returns).append(Ask(of.name, of.most, account.spent.begin, abs(wanted), account.part.used,
+            if wanted or beat and isinstance(account.part, Lease) and account.part.ahead:  # with 0 it hears what is left
+                (asks if wanted >= 0 else returns).append(Ask(of.name, of.most, account.spent.begin, abs(wanted), account.part.used,
                                                              of.period.value, of.window, of.offset_minutes))
         behind = self.upto < self.last
-        beat = self._tells or now - self._beat >= BEAT_S
         leases = bool(asks or returns or beat)
         self._ships = behind and (not leases or not self._ships)  # in turn, so that neither starves the other
         if leases and not self._ships and now >= self._quiet_until:
@@ -461,7 +461,9 @@
                 continue
             if grant is None or grant.begin != account.spent.begin:
                 account.part.unanswered()
-            else:
+                continue
+            account.part.heard(grant.left, grant.part)
+            if ask.wanted:
                 if isinstance(account.part, WindowLease):
                     account.part.notes(grant.bucket, grant.granted)
                 account.part.granted(grant.granted, grant.left, self.reactor.seconds())
--- a/aniserudder/ledger/service.py
+++ b/aniserudder/ledger/service.py
@@ -72,13 +72,14 @@
 
 
 class Grant(msgspec.Struct):
-    """``bucket``: of a rolling budget, the ledger's own in which it was granted."""
+    """``bucket``: of a rolling budget, the ledger's own in which it was granted. ``part``: the node's part of what all need."""
     budget: str
     begin: int
     granted: int
     left: int
     out: int = 0
     bucket: int = 0
+    part: float = 0.0
 
 
 class Reply(msgspec.Struct):
@@ -199,7 +200,7 @@
                 grants.append(Grant(ask.budget, ask.begin, 0, 1))
                 continue
             granted, left = grantor.ask(asks.node, asks.life, ask.wanted, ask.used, now)
-            grants.append(Grant(ask.budget, ask.begin, granted, left, grantor.out, grantor.bucket if isinstance(grantor, Window) else 0))
+            grants.append(Grant(ask.budget, ask.begin, granted, left, grantor.out, grantor.bucket if isinstance(grantor, Window) else 0, 0.0 if isinstance(grantor, Window) else grantor.part(asks.node, now)))
             rows += self._rows(ask.budget, begin, grantor, asks.node)
         aged, self._aged = self._aged, []
 
--- a/aniserudder/measure/budgets.py
+++ b/aniserudder/measure/budgets.py
@@ -14,7 +14,8 @@
 
 from ..tenants.shares import FixedPart, FollowedPart, Grantor, Lease, Part
 
-WAYS = ("fixed", "followed", "leases")
+WAYS = ("fixed", "followed", "leases", "ahead")
+AHEAD_S = 20.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -87,6 +88,8 @@
             return
         if isinstance(part, Lease):
             wanted = part.ask(now)
+            grantor.seen[str(node)] = now
+            part.heard(grantor.most - grantor.out, grantor.part(str(node), now))
             if wanted < 0:
                 part.returned(-wanted)
                 grantor.give_back(str(node), str(lives[node]), -wanted)
@@ -117,14 +120,14 @@
         if now > case.seconds + 2:
             break
         do()
-    bound = {"fixed": 0.0, "leases": case.nodes * (1 + case.dead) * over / budget}.get(way, float("inf"))
+    bound = {"fixed": 0.0, "leases": case.nodes * (1 + case.dead) * over / budget, "ahead": case.nodes * (1 + case.dead) * over / budget}.get(way, float("inf"))
     return Found(way, max(0, total - budget) / budget, refused / budget, max(0, budget - total) / budget, bound)
 
 
 def _part(way: str, budget: int, nodes: int, over: int) -> Part:
     if way == "fixed":
         return FixedPart(budget // nodes)
-    return FollowedPart(budget, nodes) if way == "followed" else Lease(over)
+    return FollowedPart(budget, nodes) if way == "followed" else Lease(over, ahead=AHEAD_S if way == "ahead" else 0.0)
 
 
 def table(seed: int, sequences: int) -> list[tuple[str, Case, list[Found]]]:
--- a/aniserudder/rehearsal/day.py
+++ b/aniserudder/rehearsal/day.py
@@ -132,6 +132,7 @@
     claims: bool = Field(True, description="nodes are told which types are claimed; else only clients know, as a baseline")
     recovery: Recovery = Recovery()
     overdraft_tokens: Annotated[int, Field(ge=0)] = 20_000
+    ahead_s: Seconds = Field(0, description="of its own use that a node holds of a budget")
     links: bool = Field(False, description="a relay stands between each node and the ledger, and the list server")
     disk: Disk | None = Field(None, description="a stand-in's; left out: the machine's")
     descriptors: Annotated[int, Field(ge=64)] = Field(4096, description="limit of each node's process")
--- a/aniserudder/rehearsal/stage.py
+++ b/aniserudder/rehearsal/stage.py
@@ -172,7 +172,7 @@
         if day.ledger:
             form["tenants"] = {n: t.model_dump() for n, t in day.tenants.items()}
             form["ledger"] = {"path": str(self.folder / f"{seat.name}.ledger"), "service": self._way(seat, "ledger", f"127.0.0.1:{self.ledger_port}"),
-                              "overdraft_tokens": day.overdraft_tokens,
+                              "overdraft_tokens": day.overdraft_tokens, "ahead_s": day.ahead_s,
                               "durability": day.disk.durability if day.disk else "process"}
         path = self.folder / f"{seat.name}.yaml"
         path.write_text(yaml.safe_dump(form))
--- a/aniserudder/settings/schema.py
+++ b/aniserudder/settings/schema.py
@@ -224,6 +224,8 @@
     when_full: Literal["refuse", "serve"] = Field("refuse", description="what becomes of sequences that cannot be written")
     overdraft_tokens: Annotated[int, Field(ge=0)] = Field(
         20_000, description="of each budget, while the ledger service does not answer")
+    ahead_s: Annotated[float, Field(ge=0, le=600)] = Field(
+        0, description="of its own use a node holds so much of each calendar budget, for when the service is away; what a node that dies holds is lost")
     lease_ms: Annotated[float, Field(ge=10)] = 100
     tell_s: Annotated[float, Field(gt=0)] = Field(3600, description="how long engines are asked what an attempt ran")
     recognise_s: Annotated[float, Field(ge=0)] = Field(
--- a/aniserudder/tenants/keeper.py
+++ b/aniserudder/tenants/keeper.py
@@ -62,11 +62,12 @@
         on_soft: told of a budget of which the soft mark was passed.
         alone: this node has the budgets for itself: no ledger is asked.
         steady: seconds, for leases that end by themselves.
+        ahead: seconds of its own use that this node holds of a budget while the ledger has much left, for when that is away.
     """
 
     def __init__(self, tree: Tree, overdraft: int, on_soft: Callable[[Budget, int], None] | None = None,
-                 alone: bool = False, steady: Callable[[], float] = time.monotonic) -> None:
-        self.tree, self.overdraft, self.alone, self.steady = tree, overdraft, alone, steady
+                 alone: bool = False, steady: Callable[[], float] = time.monotonic, ahead: float = 0.0) -> None:
+        self.tree, self.overdraft, self.alone, self.steady, self.ahead = tree, overdraft, alone, steady, ahead
         self.on_soft = on_soft or (lambda budget, spent: None)
         self.accounts: dict[str, Account] = {}
         self.open: dict[str, Reservation] = {}
@@ -78,7 +79,7 @@
         """A budget's account in its present period."""
         account = self.accounts.get(budget.name)
         if account is None:
-            part = FixedPart(budget.most) if self.alone else Lease(self.overdraft)
+            part = FixedPart(budget.most) if self.alone else Lease(self.overdraft, ahead=self.ahead)
             if budget.period is Period.ROLLING and not self.alone:
                 part = WindowLease(self.overdraft, valid=budget.window / BUCKETS / 1e6, window=budget.window, clock=self.steady)
             account = self.accounts[budget.name] = Account(
--- a/aniserudder/tenants/shares.py
+++ b/aniserudder/tenants/shares.py
@@ -14,6 +14,8 @@
 LEASE_PART = 0.5     # of a node's part of what is left, even or by its use: what one lease may be at most
 LEAST_PART = 0.0005  # of the budget: a lease is not cut below that
 HORIZON = 1.0        # seconds of its own use that a node holds ahead
+USUAL = 5.0          # seconds over which the use is noted by which a node holds ahead
+AHEAD_PART = 10.0    # what it holds beyond that is at most so many times its part of what the ledger has left
 RATE_OVER = 0.25     # seconds over which use is noted
 LATE_STEP = 0.3      # weight of the newest in how late the ledger answers
 FADE = 0.98          # what is left of the largest reservation after each
@@ -86,8 +88,9 @@
 class Lease:
     """A node's side of the leases on one budget. Times in seconds, on any steady clock.
 
-    It holds what it uses in ``HORIZON`` seconds and twice the ledger's delay, or two of its largest reservations, and returns what is more: what lies idle at
-    one node is refused at another. ``overdraft`` may be used while no lease comes; it is paid back from the next one. So a node
+    It holds what it uses in ``HORIZON`` seconds and twice the ledger's delay, or two of its largest reservations; with ``ahead`` up to so
+    many seconds of it, for when the ledger is away, while that has much left. It returns what is more: what lies idle at one node is refused at another, so the less is
+    left, the less is held. ``overdraft`` may be used while no lease comes; it is paid back from the next one. So a node
     without a ledger goes on for that much, and all nodes together overspend by at most the nodes times it.
     """
     overdraft: int
@@ -97,11 +100,15 @@
     spent_out: bool = False  # the ledger has said that nothing is left
     largest: float = 0.0     # reservation, lately
     rate: float = 0.0        # tokens a second, lately
+    usual: float = 0.0       # tokens a second, over a longer time
+    born: float = 0.0        # when that was first noted
     noted: float = -1.0      # when the rate was last noted
     since: int = 0           # taken since then
     pause: float = -1.0      # not asked again before; of a budget that is spent little comes back
     asked: float = 0.0       # when
     late: float = 0.0        # how long the ledger takes to answer, lately
+    ahead: float = 0.0       # seconds of its own use, as an operator has it
+    spare: float = 0.0       # of what the ledger has left for all, this node's part, when last heard
     lot: Lot = NO_LOT
 
     def take(self, amount: int, now: float) -> bool:
@@ -121,14 +128,16 @@
         """How much to ask the ledger for now; below 0: how much to return; 0: nothing. What is asked for counts as asked until
         ``granted``."""
         if self.noted < 0:
-            self.noted = now
+            self.noted = self.born = now
         past = now - self.noted
         if past >= RATE_OVER:
             self.rate += (self.since / past - self.rate) * min(1.0, past / HORIZON)
+            self.usual += (self.since / past - self.usual) * min(1.0, past / min(USUAL, now - self.born))
             self.largest *= FADE
             self.noted, self.since = now, 0
         # A ledger that answers late is asked for as much more as is used meanwhile.
-        target = round(max(2 * self.largest, (HORIZON + 2 * self.late) * self.rate))
+        least = max(2 * self.largest, (HORIZON + 2 * self.late) * self.rate)
+        target = round(max(least, min(self.ahead * self.usual, AHEAD_PART * self.spare)))
         if self.wanted:
             return 0
         if self.room > 2 * target + 1 and not self.spent_out:
@@ -156,6 +165,10 @@
         self.spent_out = amount == 0 and left <= 0
         self.pause = now + SPENT_PAUSE if self.spent_out else -1.0
 
+    def heard(self, left: int, part: float) -> None:
+        """What the ledger has left for all, and this node's part of what all need."""
+        self.spare = max(0, left) * part
+
     def unanswered(self) -> None:
         """The ledger did not answer."""
         self.wanted = 0
@@ -252,14 +265,17 @@
             mine = self.held[node]
         mine.used = max(mine.used, used)
         left = self.most - self.out
-        sharing = sum(now - at < SEEN_FOR for at in self.seen.values())
-        # A busy node needs more of what is left than an even part: it gets by its part of what all have used.
-        part = max(1 / sharing, mine.used / max(1, sum(h.used for h in self.held.values())))
-        grant = fair(wanted, left, self.most, part)
+        grant = fair(wanted, left, self.most, self.part(node, now))
         mine.leased += grant
         self.fresh += grant
         return grant, self.most - self.out
 
+    def part(self, node: str, now: float) -> float:
+        """A node's part of what is left. A busy one needs more than an even part: it gets by its part of what all have used."""
+        sharing = sum(now - at < SEEN_FOR for at in self.seen.values())
+        mine = self.held.get(node)
+        return max(1 / max(1, sharing), (mine.used if mine else 0) / max(1, sum(h.used for h in self.held.values())))
+
     def take_back(self, node: str, life: str, amount: int) -> None:
         """A grant of which the node was not told."""
         mine = self.held.get(node)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -21,6 +21,7 @@
 from aniserudder.tenants.authority import CLOCK_SLACK, HEARD_FOR, Authority, Clock, Form, Hand
 from aniserudder.tenants.keeper import Keeper
 from aniserudder.tenants.periods import BUCKETS, Period, start_of
+from aniserudder.tenants.shares import Grantor, Lease
 from aniserudder.tenants.windows import Window, WindowLease, rolled, rolling
 from stand import on_loop, until
 from test_sockets import Site, engine
@@ -462,3 +463,66 @@
     assert "difference 0" in ran.stdout
     said = (tmp_path / "kept" / "ledger.log").read_text()
     assert all(line in said for line in ("node has other settings", "wall clock is off", "life of a node is over"))
+
+
+AWAY = """
+about: the ledger's process is stopped for six seconds, with asks in its socket; the budget would last
+like: shares
+shares: false
+seconds: 12
+nodes: {east: 2, west: 1}
+overdraft_tokens: 40
+ahead_s: %d
+tenants:
+  members: {}
+  school: {budgets: [{tokens: 30000, of: written, period: month}]}
+  club: {}
+troubles:
+  - {at: 4, trouble: frozen, nodes: false, ledger: true, seconds: 6}
+"""
+
+
+def test_what_is_held_ahead_carries_nodes_over_a_stopped_ledger(tmp_path):
+    """The same day twice: what fits the budget is refused while the ledger is stopped, and hardly any of it with what is held ahead."""
+    refused = {}
+    for ahead in (0, 12):
+        day, record = tmp_path / f"{ahead}.yaml", tmp_path / f"{ahead}.record"
+        day.write_text(AWAY % ahead)
+        ran = subprocess.run([sys.executable, "-m", "aniserudder", "rehearse", str(day), "--seed", "4", "--quiet", "--record", str(record)],
+                             capture_output=True, text=True, env=os.environ | {"COLUMNS": "200"})
+        assert ran.returncode == 0 and "rules: 5 kept" in ran.stdout and "difference 0" in ran.stdout, ran.stdout[-3000:] + ran.stderr[-2000:]
+        refused[ahead] = record.read_text().count('"over_budget"')
+    assert refused[0] > 20 and refused[12] <= refused[0] // 5, refused
+
+
+@given(st.lists(st.tuples(st.sampled_from(["take", "end", "ask", "lost"]), st.integers(0, 3), st.integers(1, 400)), max_size=120), st.sampled_from([0.0, 20.0]))
+@examples(max_examples=150, deadline=None)
+def test_what_is_held_ahead_is_never_more_than_the_budget(steps, ahead):
+    grantor, now = Grantor(2_000), 0.0
+    leases = [Lease(0, ahead=ahead) for _ in range(4)]
+    taken = [[] for _ in range(4)]
+    for what, n, amount in steps:
+        now += 0.05
+        lease = leases[n]
+        match what:
+            case "take" if lease.take(amount, now):
+                taken[n].append(amount)
+            case "end" if taken[n]:
+                had = taken[n].pop()
+                lease.give(had - min(had, amount), now)
+                taken[n].insert(0, min(had, amount))
+            case "ask" | "lost":
+                wanted = lease.ask(now)
+                if wanted < 0:
+                    lease.returned(-wanted)
+                    if what == "ask":
+                        grantor.give_back(str(n), "1", -wanted)
+                    continue
+                granted, left = grantor.ask(str(n), "1", wanted, lease.used, now)
+                if what == "ask":
+                    lease.heard(left, grantor.part(str(n), now))
+                    if wanted:
+                        lease.granted(granted, left, now)
+                else:
+                    lease.unanswered()
+        assert sum(map(sum, taken)) + sum(x.room for x in leases) <= grantor.out <= 2_000
