A second look as an attempt's bytes go out: drain, window, client, time left

Seen (reading, then tests): the module decides, the bytes go out when a connection is up, up to the connect time later. In between an engine may have been told draining, or its process replaced; the client may have gone; Request-Timeout was written as it was decided. core/router._send and platform/engines.send had no line between.

Request-Timeout states what is left. The pool of the other front asks as well.

Refuted: a repeat whose window ends on the way was already called off in time by its time-out; its test stays. A laboratory test that breaks the module's guard on purpose did not see rule 2 broken any more, as the second look held; it takes that out as well now.

--- a/aniserudder/core/ports.py
+++ b/aniserudder/core/ports.py
@@ -72,6 +72,10 @@
     time_out: int            # microseconds, told to the engine; the library itself keeps the time
     send_by: int             # on the port's clock: later it may not be sent any more; 0: any time
 
+    def goes_out(self) -> int:
+        """Asked as its bytes are about to be written, which may be a whole connect time after it was decided. Microseconds
+        left of its time-out; 0: it may not be sent any more, and then ends as ``NOT_SENT``."""
+
     def continues(self, at: int, digest: str) -> None:
         """Where in the whole answer the text that follows begins, in UTF-8 bytes, and the digest (xxh3, 64 bits, hex) of
         what the engine took for the text before that. Told before the first piece, where a beginning was forced."""
--- a/aniserudder/core/router.py
+++ b/aniserudder/core/router.py
@@ -58,6 +58,7 @@
     time_out: int
     request: Request
     send_by: int = 0
+    sent_at: int = 0                # microseconds, on the router's clock; when it was decided
     timer: IDelayedCall | None = None
     started: bool = False
     over: bool = False
@@ -69,6 +70,9 @@
     def seq_id(self) -> str:
         return self.flight.id
 
+    def goes_out(self) -> int:
+        return 0 if self.over else self.router._goes_out(self)
+
     def continues(self, at: int, digest: str) -> None:
         if not self.over:
             self.router.tell(lambda: self.router._continues(self, at, digest))
@@ -156,6 +160,7 @@
         self.flights: dict[str, Flight] = {}
         self.counts = Counts()
         self.fields = settings.report_fields
+        self.client_here: Callable[[str], bool] = lambda id: True  # whether the kernel knows nothing of its client's end
         self.on_quiet: Callable[[], None] | None = None  # called when the last sequence is gone
         self._events: deque[Callable[[], None]] = deque()
         self._busy = False
@@ -279,6 +284,19 @@
                 flight.journal.add(piece)
             flight.answer.text(piece)
 
+    def _goes_out(self, attempt: Attempt) -> int:
+        """What held when the schedule attempt was decided may hold no more: guards against bytes for an engine that drains
+        by now, behind a repeat window, or for a client whose end the loop has not come to yet."""
+        flight, now = attempt.flight, self.now()
+        if flight.answered or flight.out is not attempt:
+            return 0
+        if not self.client_here(flight.id):
+            self.client_left(flight.id)
+            return 0
+        if not self.node.may_go_out(now, flight.id, attempt.ordinal):
+            return 0
+        return max(0, attempt.sent_at + attempt.time_out - now)
+
     def _continues(self, attempt: Attempt, at: int, digest: str) -> None:
         if attempt.seam and not attempt.over and attempt.flight.out is attempt:
             try:
@@ -522,7 +540,7 @@
         reads = change.state is State.READING
         held = flight.held.params if flight.held and not reads else None
         attempt = flight.out = Attempt(self, flight, change.ordinal, change.engine, reads, held, change.time_out,
-                                       flight.request)
+                                       flight.request, sent_at=self.now())
         if flight.request.forced and not reads and flight.journal is not None:
             attempt.seam = Seam(flight.journal)
         self.counts.attempts += 1
--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -152,6 +152,14 @@
         self._route(seq)
         return self._done()
 
+    def may_go_out(self, now: int, id: str, ordinal: int) -> bool:
+        """Asked as the bytes of a schedule attempt go out, up to a connect time after it was decided: engine, window and
+        time left are looked at again. Changes nothing."""
+        self.now, seq = now, self.seqs.get(id)
+        out = seq.out if seq else None
+        return (out is not None and out.ordinal == ordinal and seq.state not in FINAL and now < seq.abandon_at
+                and out.engine.row.started_at == out.up_since and out.engine.listed and self._in_group(seq, out.engine))
+
     def started(self, now: int, id: str, ordinal: int) -> list[Change]:
         self.now, seq = now, self.seqs.get(id)
         if seq and seq.out and seq.out.ordinal == ordinal and seq.state not in FINAL:
@@ -478,6 +486,10 @@
         """Drains, cold engines' turns, and where a tokened sequence may go again. Every send passes here."""
         if not engine.listed or self._is_cold(engine) and engine not in seq.turns:
             return False
+        return self._in_group(seq, engine)
+
+    def _in_group(self, seq: Sequence, engine: Engine) -> bool:
+        """Whether a repeat there would be dropped, or harms nothing."""
         ran = seq.may_have_run
         if ran is None or seq.row.effect is Effect.REPEATABLE or engine.role is Role.READER:
             return True
@@ -532,7 +544,7 @@
             engine.sent_since += 1
         engine.reading += remainder
         attempt = Attempt(seq, engine, len(seq.attempts), self.now, remainder, self._known(engine, seq),
-                          engine.reading)
+                          engine.reading, engine.row.started_at)
         if attempt.reads:
             self._keep(engine, seq)  # reads go first come first: what is sent next finds this one's beginning
         seq.attempts.append(attempt)
--- a/aniserudder/decisions/state.py
+++ b/aniserudder/decisions/state.py
@@ -44,6 +44,7 @@
     reads: int                   # prompt tokens that the engine has to read
     believed: int                # tokens believed kept there
     queue: int                   # own tokens outstanding there when it was sent, these included
+    up_since: int = 0            # the engine's start as listed then: another one is another process
     started_at: int = 0
 
 
--- a/aniserudder/engines/pool.py
+++ b/aniserudder/engines/pool.py
@@ -159,7 +159,7 @@
         def ready(connection: ClientConnection) -> None:
             if run.over:  # called off while the connection was made
                 return self.free(connection)
-            if attempt.send_by and self.reactor.seconds() * 1e6 > attempt.send_by:
+            if attempt.send_by and self.reactor.seconds() * 1e6 > attempt.send_by or not attempt.goes_out():
                 self.free(connection)
                 return run.finish(codec.Ended(Outcome.NOT_SENT, reason="its time to be sent is over"))
             run.connection = connection
--- a/aniserudder/ledger/books.py
+++ b/aniserudder/ledger/books.py
@@ -66,6 +66,9 @@
         self.send_by = inner.send_by
         self.gone_out = False    # its entry is on the disk, and it was handed on
 
+    def goes_out(self) -> int:
+        return self.inner.goes_out()
+
     def continues(self, at: int, digest: str) -> None:
         self.inner.continues(at, digest)
 
--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -185,6 +185,11 @@
         exchange.connection.ticket = exchange.connection  # no stranger any more
         self.router.take(id, request, StreamAnswer(self, exchange, id))
 
+    def here(self, id: str) -> bool:
+        """Whether a sequence's client has not ended its connection, as far as the kernel knows."""
+        connection = self.router.flights[id].answer.exchange.connection
+        return connection is not None and not connection.left
+
     def over(self, id: str) -> None:
         """A sequence has its final answer, or its client left."""
         self._over[id] = None
--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -271,11 +271,15 @@
     def send(self, attempt: Attempt) -> None:
         run = self.runs[attempt.seq_id] = AttemptExchange(self, attempt)
         request = attempt.request
-        headers = [("request-id", attempt.seq_id), ("request-timeout", f"{attempt.time_out / 1e6:.3f}"), *request.headers]
         def ready(connection: ClientConnection) -> None:
             if run.over:  # called off while the connection was made
                 return self.free(connection)
+            left = attempt.goes_out()
+            if not left:
+                self.free(connection)
+                return run.finish(Outcome.NOT_SENT, "it may not go out any more")
             run.connection = connection
+            headers = [("request-id", attempt.seq_id), ("request-timeout", f"{left / 1e6:.3f}"), *request.headers]
             if not connection.ask("POST", request.target, headers, request.body, run):
                 return run.finish(Outcome.NO_ROUTE, "the connection went before the request")
             held = self.held.get(attempt.seq_id)
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -182,6 +182,16 @@
         except OSError:
             return False
 
+    @property
+    def left(self) -> bool:
+        """Whether the kernel holds the client's end and the loop has not come to it yet."""
+        try:
+            return not self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     # The socket.
 
     def connectionMade(self) -> None:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -151,6 +151,7 @@
     from aniserudder.decisions.rules import Node
     monkeypatch.setattr(Node, "_repeats", lambda *_: True)
     monkeypatch.setattr(Node, "_may_send", lambda self, seq, engine: engine.listed)
+    monkeypatch.setattr(Node, "_in_group", lambda self, seq, engine: True)  # the second look, as the bytes go out
     assert 2 in audit(Record(play("bad_engines", 1, tmp_path).ran.lines)).broken
 
 
--- a/tests/test_platform_races.py
+++ b/tests/test_platform_races.py
@@ -1,6 +1,11 @@
 """What comes between two lines of the platform node: each bad order is made to happen, on real connections."""
-from platform_stand import FULL, READ, Never, Site, ask
-from stand import on_loop, until
+import socket
+
+import pytest
+
+from aniserudder.wire.client import At
+from platform_stand import FULL, READ, STREAM, WHOLE, Never, Site, ask, body_of
+from stand import on_loop, sleep, until
 
 LET_GO = {"family-info": {"duty-by-kind": ["read", "write", "both"], "self-prefill": True, "let-go-by": 0.2,
                           "token-aim": [0.07, 0.08], "aim-us-per-1000-prompt-tokens": [40000.0, 40000.0]},
@@ -18,11 +23,34 @@
     pass
 
 
+def status(answer):
+    return int(answer.split(b" ")[1]) if answer else 0
+
+
 def now():
     from twisted.internet import reactor
     return reactor.seconds()
 
 
+class Doors:
+    """Connections of a node to its engines, each let through when a test says so."""
+
+    def __init__(self, site):
+        self.waiting, inner = [], site.node.engines.connected
+
+        def connected(engine, ready, failed):
+            inner(engine, lambda connection: self.waiting.append((engine, connection, ready)), failed)
+        site.node.engines.connected = connected
+        self.sent = []  # to whom bytes went out: an engine may never read what is given up right after
+
+    def open(self):
+        engine, connection, ready = self.waiting.pop(0)
+        ready(connection)
+        if connection.state is At.BUSY:
+            self.sent.append(engine)
+        return engine
+
+
 # What is held.
 
 def test_a_state_whose_writer_was_cut_off_is_let_go_in_time_though_no_connection_comes_up():
@@ -96,3 +124,98 @@
         await site.close()
         return after
     assert on_loop(scene) > 0
+
+
+# Between a decision and its bytes.
+
+def test_nothing_goes_out_to_an_engine_that_drains_since_it_was_decided():
+    async def scene():
+        site = await Site({"m1": answers(WHOLE), "m2": answers(WHOLE)}, **LET_GO).up()
+        doors = Doors(site)
+        client = await site.client(ask("a1"))
+        await until(lambda: doors.waiting)
+        chosen = doors.waiting[0][0]
+        site.tell(site.listed(site.member(chosen, "DRAINING"), complete=False))
+        await until(lambda: not site.node.router.node.engines[chosen].listed)
+        doors.open()
+        await until(lambda: doors.waiting)
+        other = doors.open()
+        await until(lambda: client.data.endswith(b"0\r\n\r\n"))
+        await site.close()
+        return chosen, other, len(site.engines[chosen].requests), body_of(client.data)
+    chosen, other, requests, body = on_loop(scene)
+    assert other != chosen and requests == 0 and body == STREAM
+
+
+def test_a_repeat_whose_window_ends_while_its_connection_is_made_is_not_sent():
+    keyed = {**LET_GO, "services": [{"name": "draft", "goal-time": 1.0, "deadline": 3.0, "semantics": "token", "group": "all",
+                                     "window": 0.4, "stream": True, "points": 1.0}]}
+
+    async def scene():
+        site = await Site({"m1": silent, "m2": silent}, **keyed).up()
+        doors = Doors(site)
+        client = await site.client(ask("a1", left="2.0"))
+        await until(lambda: doors.waiting)
+        first = doors.open()
+        await until(lambda: site.engines[first].requests)
+        site.engines[first].connections[0].transport.abortConnection()
+        await until(lambda: doors.waiting)  # the repeat, inside its window
+        second = doors.waiting[0][0]
+        await sleep(0.45)
+        doors.open() if doors.waiting else None
+        await until(lambda: client.data)
+        await site.close()
+        return len(site.engines[second].requests) - (first == second), status(client.data)
+    assert on_loop(scene) == (0, 503)
+
+
+@pytest.mark.parametrize("may_recall", [True, False])
+def test_nothing_goes_out_for_a_client_that_left_while_the_connection_was_made(may_recall):
+    """Also where the loop has not come to the client's end yet: its end lies in the kernel as the bytes are about to go."""
+    settings = {**LET_GO, "bounds": {**LET_GO["bounds"], "cancelling": may_recall}}
+
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}, **settings).up()
+        doors = Doors(site)
+        with socket.create_connection(site.node.address) as client:
+            client.sendall(ask("a1"))
+            await until(lambda: doors.waiting)
+        doors.open()  # no turn of the loop between the two
+        await until(lambda: not site.node.router.flights)
+        await sleep(0.05)
+        left = site.node.router.counts.left
+        await site.close()
+        return left, doors.sent
+    assert on_loop(scene) == (1, [])
+
+
+@pytest.mark.parametrize("may_recall", [True, False])
+def test_a_client_whose_end_was_seen_before_the_connection_came_up_has_nothing_sent(may_recall):
+    settings = {**LET_GO, "bounds": {**LET_GO["bounds"], "cancelling": may_recall}}
+
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}, **settings).up()
+        doors = Doors(site)
+        client = await site.client(ask("a1"))
+        await until(lambda: doors.waiting)
+        client.transport.abortConnection()
+        await until(lambda: site.node.router.counts.left)
+        doors.open()
+        await until(lambda: not site.node.router.flights)
+        await site.close()
+        return doors.sent
+    assert on_loop(scene) == []
+
+
+def test_an_engine_is_told_what_is_left_as_the_bytes_go_out():
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}, **LET_GO).up()
+        doors = Doors(site)
+        client = await site.client(ask("a1", "send", "2.000"))
+        await until(lambda: doors.waiting)
+        await sleep(0.3)
+        doors.open()
+        await until(lambda: client.data.endswith(b"0\r\n\r\n"))
+        await site.close()
+        return float(site.engines["m1"].requests[0].lower().partition(b"request-timeout: ")[2].split(b"\r\n")[0])
+    assert 1.0 < on_loop(scene) <= 1.7
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -30,6 +30,9 @@
         self.request = Request(Prompt("note", "", "", 10, 0, 6, 0, 1), body)
         self.pieces, self.outcome, self.got, self.send_by = [], None, None, 0
 
+    def goes_out(self):
+        return 1_000_000
+
     def continues(self, at, digest):
         self.joined = at, digest
 
