Discovery: tries do not wait for lost calls; a silent watch is noticed in 2.8 s

Seen (arithmetic, then tests): a watch held 5 s and was given up 1 s later, then 0.1 s, a connection and the whole list: a change that it missed was known after 6.1 s at the earliest, where the new term counts it as told after 6 s. And while discovery was away each call was waited for a second (platform/discovery._call, `wait + ANSWER_S`): at its return a node sat on a lost call for up to 1.1 s, while what the agent has counts at once and a drain grace is 250 to 500 ms. A connection that answered while SIGHUP moved discovery was not at risk; a move in the turn between an answer and the next call was guarded by the timer alone.

Change: a watch holds 2 s and has 0.8 s more. Else the agent is located: a whole list asked for on a connection of its own four times in a drain grace, each bounded by 0.8 s, and the first that is answered counts. A reset or silent watch is opened anew by the whole list. A loop that was late reads first before it calls the agent silent. States: one watch, or tries; no further timer.

Margin: 2.0 + 0.8 + 0.8 + a quarter of a grace = 3.7 s of 6. test_reload_and_stop counted on the list of the second discovery not being read; both lists name the same engine now.

--- a/aniserudder/platform/config.py
+++ b/aniserudder/platform/config.py
@@ -30,6 +30,7 @@
     connect: int          # a connection that is not made by then never is
     idle: int             # engines close connections that were idle for so long
     let_go: int           # what is held for a sequence is taken or let go within this
+    drain_grace: int      # nothing is sent to an engine so long after its drain was told; 0: not said
 
 
 @dataclass(slots=True, frozen=True)
@@ -88,7 +89,7 @@
     settings = data["settings"]
     bounds, family = settings.get("bounds", {}), settings.get("family-info", {})
     facts = Facts(connect=micros(bounds.get("connect-timeout", 0.25)), idle=micros(bounds.get("conn-idle", 15.0)),
-                  let_go=micros(family.get("let-go-by", 0.3)))
+                  let_go=micros(family.get("let-go-by", 0.3)), drain_grace=micros(settings.get("rules", {}).get("drain-grace")))
     seed = data.get("seed", 0)
     return Config(str(data["name"]), address(data["listen"]), address(data["discovery"]),
                   int(seed, 16) if isinstance(seed, str) else int(seed), int(data.get("limits", {}).get("sockets", 1024)),
--- a/aniserudder/platform/discovery.py
+++ b/aniserudder/platform/discovery.py
@@ -20,9 +20,11 @@
 
 LIST = "/registry/instances"
 PHASES = {"SERVING": Availability.RUNNING, "DRAINING": Availability.DRAINING, "DELETED": Availability.GONE}
-HOLD_MS = 5_000       # that a watch waits for news; PROTOCOL allows 60,000
-ANSWER_S = 1.0        # beyond the hold; the agent stands on the same machine and answers at once, or not at all
-AGAIN_S = 0.1         # between tries; a watch goes on within 200 ms of its last answer
+TOLD_S = 6.0          # a change counts as told so long after discovery had it, whatever fell silent meanwhile
+HOLD_MS = 2_000       # that a watch waits for news; PROTOCOL allows 60,000
+ANSWER_S = 0.8        # beyond the hold; the agent stands on the same machine and answers at once, or not at all
+TRIES_IN_GRACE = 4    # while nothing answers: so many tries in the time in which a drain has to be heeded
+LATEST_S = 0.05       # a loop that is later than this has not come to what the kernel holds
 LIST_MOST = 8_388_608  # bytes of an answer
 
 
@@ -85,30 +87,35 @@
 class Discovery:
     """Follows the list and tells router and connections of it.
 
+    Either one watch is out on a connection that has answered before, or the agent is being located: whole lists are asked for
+    at a steady pace, each on a connection of its own, until one is answered. Nobody waits for a call that may have been lost:
+    what the agent has counts as told at once when it is back, and drains have to be heeded in ``grace`` then.
+
     Args:
         router: told of every change.
         connections: told where engines listen before the router hears of them.
         address: of the agent.
+        grace: seconds in which a drain has to be heeded; 0: settings do not say.
         on_first: called once, when discovery has answered for the first time.
     """
 
-    def __init__(self, router: Router, connections: Connections, address: tuple[str, int], reactor: IReactorTCP,
+    def __init__(self, router: Router, connections: Connections, address: tuple[str, int], grace: float, reactor: IReactorTCP,
                  log: Callable[..., None], on_first: Callable[[], None]) -> None:
         self.router, self.connections, self.address, self.reactor, self.log = router, connections, address, reactor, log
         self.on_first: Callable[[], None] | None = on_first
+        self.again = min(ANSWER_S, grace or ANSWER_S) / TRIES_IN_GRACE
         self.revision = -1
         self.listed: dict[str, str] = {}  # engine: address
         self.away = False
-        self._connection: ClientConnection | None = None
-        self._ask: _Ask | None = None
-        self._timer: IDelayedCall | None = None
+        self._calls: dict[_Call, None] = {}  # that are out: one watch, or tries
+        self._resting: ClientConnection | None = None  # answered, and asked anew in the next turn
+        self._next: IDelayedCall | None = None  # what is done next: a try, or a watch
         self._stopped = False
 
     def start(self, known: News) -> None:
-        """Takes up the list that the configuration names, then asks for the present one."""
+        """Takes up the list that the configuration names, which may be old, then asks for the present one."""
         self.take(known)
-        self.revision = -1  # it may be old: the first call asks for all
-        self._connect()
+        self._locate()
 
     def stop(self) -> None:
         """Asks no more."""
@@ -119,7 +126,7 @@
         """Discovery is elsewhere from now on; what is known stands, and the next call goes there."""
         self.address = address
         self._drop()
-        self._connect()
+        self._locate()
 
     def take(self, news: News) -> None:
         """Tells of a list, or of changes."""
@@ -143,47 +150,47 @@
             self.listed.pop(id, None)
             self.connections.forget(id)
 
-    # One call after another.
+    # Locating the agent, and one watch after another.
 
-    def _connect(self) -> None:
+    def _locate(self) -> None:
+        """One more try, and the next one soon, whatever becomes of this one."""
         if self._stopped:
             return
+        self._next = self.reactor.callLater(self.again, self._locate)
+        call = _Call(self, ANSWER_S)
+        self._calls[call] = None
         host, port = self.address
-        ask = self._ask = _Ask(self)
         factory = Factory.forProtocol(lambda: ClientConnection(f"{host}:{port}", lambda c: None, lambda c: None))
         factory.noisy = False
 
         def made(connection: ClientConnection) -> None:
-            if self._ask is not ask:
+            if call not in self._calls:
                 return connection.drop()
-            self._connection = connection
-            self._call()
-
-        def not_made(failure: object) -> None:
-            if self._ask is ask:
-                self._away("no connection")
+            call.ask(connection, LIST)
 
         endpoint = TCP4ClientEndpoint(self.reactor, host, port, timeout=ANSWER_S)
-        endpoint.connect(factory).addCallbacks(made, not_made)
-
-    def _call(self) -> None:
-        ask = self._ask = _Ask(self)
-        path, wait = (LIST, 0) if self.revision < 0 else (f"{LIST}?from={self.revision}&hold_ms={HOLD_MS}", HOLD_MS / 1000)
-        self._timer = self.reactor.callLater(wait + ANSWER_S, lambda: self._ask is ask and self._away("silence"))
-        if self._connection is None or not self._connection.ask("GET", path, [], b"", ask):
-            self._away("the connection went")
-
-    def _answered(self, status: int, data: bytes) -> None:
-        self._ask = None
-        if self._timer and self._timer.active():
-            self._timer.cancel()
+        endpoint.connect(factory).addCallbacks(made, lambda failure: call.failed("no connection"))
+
+    def _watch(self) -> None:
+        """Waits for what is newer than the list at hand."""
+        connection, self._resting = self._resting, None
+        if not connection.quiet:
+            connection.drop()
+            return self._locate()
+        call = _Call(self, HOLD_MS / 1000 + ANSWER_S)
+        self._calls[call] = None
+        call.ask(connection, f"{LIST}?from={self.revision}&hold_ms={HOLD_MS}")
+
+    def answered(self, call: _Call, status: int, data: bytes) -> None:
+        """One call has its answer; all others that are out are given up."""
         try:
             if status != 200:
                 raise Garbled(f"status {status}")
             news = decode(data)
         except Garbled as wrong:
-            self.revision = -1  # changes build on one another: after what cannot be read the whole list is needed
-            return self._away(f"an answer cannot be used: {wrong}")
+            return call.failed(f"an answer cannot be used: {wrong}")
+        connection, call.connection = call.connection, None
+        self._drop()
         self.take(news)
         if self.away:
             self.away = False
@@ -191,52 +198,79 @@
         first, self.on_first = self.on_first, None
         if first:
             first()
-        self._timer = self.reactor.callLater(0, self._next)
-
-    def _next(self) -> None:
-        if not self._stopped:
-            self._call() if self._connection and self._connection.quiet else self._again(0)
+        self._resting = connection
+        self._next = self.reactor.callLater(0, self._watch)  # not before the answer's bytes have all been read
 
-    def _away(self, reason: str) -> None:
+    def lost(self, call: _Call, reason: str) -> None:
+        """A call came to nothing. A watch that did is opened anew: changes build on one another, so by the whole list."""
+        self._calls.pop(call, None)
+        if self._stopped:
+            return
         if not self.away:  # one line for all the tries
             self.log("discovery away", level="warning", reason=reason)
         self.away = True
-        self._again(AGAIN_S)
-
-    def _again(self, after: float) -> None:
-        self._drop()
-        if not self._stopped:
-            self._timer = self.reactor.callLater(after, self._connect)
+        if self._next is None or not self._next.active():
+            self._next = self.reactor.callLater(self.again, self._locate)
 
     def _drop(self) -> None:
-        self._ask = None
-        if self._timer and self._timer.active():
-            self._timer.cancel()
-        connection, self._connection = self._connection, None
-        if connection:
-            connection.drop()
+        if self._next and self._next.active():
+            self._next.cancel()
+        resting, self._resting = self._resting, None
+        if resting:
+            resting.drop()
+        calls, self._calls = self._calls, {}
+        for call in calls:
+            call.end()
+
 
+class _Call:
+    """One call and its answer (``wire.client.Exchange``), bounded in time."""
 
-class _Ask:
-    """One call's answer (``wire.client.Exchange``)."""
+    __slots__ = ("owner", "connection", "status", "data", "due", "timer", "over")
 
-    __slots__ = ("owner", "status", "data")
+    def __init__(self, owner: Discovery, patience: float) -> None:
+        self.owner, self.status, self.data, self.over = owner, 0, bytearray(), False
+        self.connection: ClientConnection | None = None
+        self.due = owner.reactor.seconds() + patience
+        self.timer = owner.reactor.callLater(patience, self._silent)
 
-    def __init__(self, owner: Discovery) -> None:
-        self.owner, self.status, self.data = owner, 0, bytearray()
+    def ask(self, connection: ClientConnection, path: str) -> None:
+        self.connection = connection
+        if not connection.ask("GET", path, [], b"", self):
+            self.failed("the connection went")
 
     def head(self, status: int) -> None:
         self.status = status
 
     def body(self, data: bytes) -> None:
         self.data += data
-        if len(self.data) > LIST_MOST and self.owner._ask is self:
-            self.owner._away("an answer is too long")
+        if len(self.data) > LIST_MOST:
+            self.failed("an answer is too long")
 
     def complete(self) -> None:
-        if self.owner._ask is self:
-            self.owner._answered(self.status, bytes(self.data))
+        if not self.over:
+            self.owner.answered(self, self.status, bytes(self.data))
 
     def lost(self, reason: str, malformed: bool) -> None:
-        if self.owner._ask is self:
-            self.owner._away(reason)
+        self.failed(reason)
+
+    def failed(self, reason: str) -> None:
+        if not self.over:
+            self.end()
+            self.owner.lost(self, reason)
+
+    def end(self) -> None:
+        """Nothing more is heard of this call."""
+        self.over = True
+        if self.timer.active():
+            self.timer.cancel()
+        if self.connection:
+            self.connection.drop()
+
+    def _silent(self) -> None:
+        late = self.owner.reactor.seconds() - self.due
+        if late > LATEST_S:  # the loop's own fault: first it reads what has come meanwhile
+            self.due = self.owner.reactor.seconds()
+            self.timer = self.owner.reactor.callLater(0, self._silent)
+        else:
+            self.failed("silence")
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -55,7 +55,8 @@
         self.clients = Clients(self.router, (t.name for t in conf.settings.types), Descriptors(limit, own), reactor, log)
         self.engines.on_exhausted = self.clients.exhausted
         self.router.client_here = self.clients.here
-        self.discovery = Discovery(self.router, self.engines, conf.discovery, reactor, log, self._ready)
+        self.discovery = Discovery(self.router, self.engines, conf.discovery, conf.facts.drain_grace / 1e6, reactor, log,
+                                   self._ready)
         self.latest = 0.0  # seconds; the most that the loop was late since the last line of figures
         self._port: IListeningPort | None = None
         self._stopping: Deferred[None] | None = None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -415,6 +415,7 @@
 
     async def scene():
         site, other = Site({"m1": silent}), Site({"m1": silent})
+        strangers, other.engines = other.engines, site.engines  # both lists name the same engine
         listen = f"127.0.0.1:{__import__('aniserudder.wire.text').wire.text.free_port()}"
         site.conf["listen"] = listen
         node = process(tmp_path, site.conf)
@@ -436,7 +437,7 @@
         site.engines["m1"].connections[0].say(WHOLE)
         await until(lambda: client.data.endswith(b"0\r\n\r\n"))
         code = await deferToThread(node.wait, 5)
-        for party in (site.discovery, other.discovery, *site.engines.values(), *other.engines.values()):
+        for party in (site.discovery, other.discovery, *site.engines.values(), *strangers.values()):
             party.stop()
         return code, body_of(client.data), status(late.data), status(ready.data), node.stderr.read()
     code, answer, late, ready, said = on_loop(scene)
@@ -498,7 +499,7 @@
         def ended(self, outcome, usage, state, reason):
             self.told.append((outcome, clock.seconds()))
     clock = Clock()
-    there = PlatformEngines(clock, Facts(250_000, 1_000_000, 400_000), 100, lambda *a, **k: None)
+    there = PlatformEngines(clock, Facts(250_000, 1_000_000, 400_000, 0), 100, lambda *a, **k: None)
     asked = []
     there._ask = lambda engine, method, path, done: asked.append((engine, method, path, clock.seconds())) or done(204, b"")
     there.connected = lambda engine, ready, failed: clock.callLater(0.25, failed, "no connection: TimeoutError")
--- a/tests/test_platform_races.py
+++ b/tests/test_platform_races.py
@@ -3,8 +3,9 @@
 
 import pytest
 
+from aniserudder.platform import discovery
 from aniserudder.wire.client import At
-from platform_stand import FULL, READ, STREAM, WHOLE, Never, Site, ask, body_of
+from platform_stand import FULL, READ, STREAM, WHOLE, Never, Party, Site, ask, body_of
 from stand import on_loop, sleep, until
 
 LET_GO = {"family-info": {"duty-by-kind": ["read", "write", "both"], "self-prefill": True, "let-go-by": 0.2,
@@ -219,3 +220,128 @@
         await site.close()
         return float(site.engines["m1"].requests[0].lower().partition(b"request-timeout: ")[2].split(b"\r\n")[0])
     assert 1.0 < on_loop(scene) <= 1.7
+
+
+# Discovery: what the agent has counts as told 6 s after it had it, and at once when it is back.
+
+class Agent:
+    """Discovery that a test leads: each call is kept until the test answers, or is passed over."""
+
+    def __init__(self, site):
+        self.site, self.calls = site, []
+        site.discovery.answer = lambda connection, request: self.calls.append((connection, request))
+
+    def answer(self, news, at=-1):
+        connection, _ = self.calls.pop(at)
+        self.site.tell(news, connection)
+
+
+def drained(site, name="m1"):
+    return not site.node.router.node.engines[name].listed
+
+
+def test_what_a_silent_watch_misses_is_known_long_before_it_counts_as_told():
+    """The watch falls silent just after it was opened, and the first new call gets no answer either."""
+    async def scene():
+        site = await Site({"m1": silent, "m2": silent}).up()
+        agent, silent_at = Agent(site), now()
+        for connection in site.watches:
+            connection.transport.pauseProducing()
+        await until(lambda: agent.calls, 6)
+        first, path = agent.calls[0]
+        assert b"?from=" not in path  # changes build on one another: the whole list
+        await until(lambda: len(agent.calls) > 1, 3)
+        agent.answer(site.listed(site.member("m1", "DRAINING"), site.member("m2")))
+        await until(lambda: drained(site))
+        took = now() - silent_at
+        await site.close()
+        return took
+    assert on_loop(scene) < discovery.TOLD_S - 2.0
+
+
+def test_a_drain_is_heeded_within_its_grace_when_discovery_is_back():
+    """Calls that went out while the agent was silent are lost for good; one that goes out at its return is answered at once."""
+    async def scene():
+        site = await Site({"m1": silent, "m2": silent}, rules={"drain-grace": 0.25}).up()
+        for connection in site.discovery.connections:
+            connection.transport.abortConnection()
+        agent = Agent(site)
+        await until(lambda: len(agent.calls) >= 3)
+        lost, back_at = len(agent.calls), now()
+        await until(lambda: len(agent.calls) > lost)
+        agent.answer(site.listed(site.member("m1", "DRAINING"), site.member("m2")))
+        await until(lambda: drained(site))
+        took = now() - back_at
+        await until(lambda: sum(not c.over for c in site.discovery.connections) == 1)  # the lost ones are given up
+        await site.close()
+        return took
+    assert on_loop(scene) < 0.25
+
+
+def test_an_agent_that_needs_longer_than_the_pace_of_tries_is_heard_all_the_same():
+    async def scene():
+        site = await Site({"m1": silent, "m2": silent}, rules={"drain-grace": 0.2}).up()
+        for connection in site.discovery.connections:
+            connection.transport.abortConnection()
+        agent = Agent(site)
+        await until(lambda: len(agent.calls) >= 5)  # the first has waited for four more by now
+        agent.answer(site.listed(site.member("m1", "DRAINING"), site.member("m2")), at=0)
+        await until(lambda: drained(site))
+        await site.close()
+    on_loop(scene)
+
+
+@pytest.mark.parametrize("spoilt", [b"HTTP/1.1 200 OK\r\ncontent-length: 500\r\n\r\n{", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}",
+                                    b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n", b"\x00\x01"])
+def test_an_answer_without_an_end_or_a_list_is_asked_for_anew(spoilt):
+    async def scene():
+        site = await Site({"m1": silent, "m2": silent}, rules={"drain-grace": 0.25}).up()
+        agent = Agent(site)
+        site.watches[-1].say(spoilt)
+        await until(lambda: agent.calls, 5)
+        assert b"?from=" not in agent.calls[-1][1]
+        agent.answer(site.listed(site.member("m1", "DRAINING"), site.member("m2")))
+        await until(lambda: drained(site))
+        await site.close()
+    on_loop(scene)
+
+
+def test_discovery_moves_in_the_turn_in_which_an_answer_came_and_the_old_one_hears_no_more():
+    async def scene():
+        site = await Site({"m1": silent, "m2": silent}).up()
+        there, agent = site.node.discovery, Agent(site)
+        elsewhere = Party("elsewhere", site.log, lambda connection, request: calls.append(connection))
+        calls, host = [], elsewhere.address.rpartition(":")
+        taken, inner = [], there.take
+
+        def take(news):
+            inner(news)
+            taken.append(news)
+            site.node.reactor.callLater(0, there.move, (host[0], int(host[2])))  # SIGHUP between an answer and the next call
+        there.take = take
+        site.tell(site.listed(site.member("m1", "DRAINING"), complete=False))
+        await until(lambda: calls)
+        there.take = inner
+        site.tell(site.listed(site.member("m1"), site.member("m2", "DRAINING")), calls[0])
+        await until(lambda: drained(site, "m2") and not drained(site))
+        await until(lambda: all(c.over for c in site.discovery.connections))
+        asked = len(agent.calls)
+        elsewhere.stop()
+        await site.close()
+        return asked
+    assert on_loop(scene) <= 1
+
+
+def test_a_list_that_comes_back_with_fewer_rows_takes_the_others_away():
+    async def scene():
+        site = await Site({"m1": silent, "m2": silent}).up()
+        for connection in site.discovery.connections:
+            connection.transport.abortConnection()
+        agent = Agent(site)
+        await until(lambda: agent.calls)
+        agent.answer(site.listed(site.member("m2")))
+        await until(lambda: drained(site) and not drained(site, "m2"))
+        places = list(site.node.engines.places)
+        await site.close()
+        return places
+    assert on_loop(scene) == ["m2"]
