Connections end by ending our sending and reading on; what was read is answered

Seen (reading, then tests on real sockets): wire/server._close called loseConnection, which stops reading at once: bytes that came in that moment stayed unread, the close became a reset, and what the kernel still held of the last answer was gone. Clients.stop and _late closed idle connections without a look at the kernel, as _shed does. stop() in READING dropped a whole request that waited for its turn, and half a request at SIGTERM. node._leave gave last bytes one second, less than each connection's own bound.

Change: the platform's connections end their sending, read on without use for up to 0.5 s, then close (`Bounds.linger_s`; other fronts as before; shedding closes at once, it has looked). Unread bytes at SIGTERM or at an idle time-out are a request: answered. Whole requests that wait are answered before the last one's `connection: close`. A stopping node waits for requests that have begun; each is bounded already. Its last bytes have as long as connections do (2.4 + 0.5 s).

--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -22,6 +22,7 @@
 BODY_MOST = 262_144      # PROTOCOL: a body holds 256 KiB at most
 OPENING_S = 2.4          # DAYS: what says nothing or never ends is closed within 3 s of connecting
 IDLE_S = 2.0             # DAYS: a connection with no open request may be closed after this
+LINGER_S = 0.5           # for a client's end after ours; it stands in the next room
 KEPT_S = 60.0            # and is, where nobody needs the room
 CHANCE_S = 0.1           # a connection that never had a sequence is not closed to make room before it could ask for one
 LONGEST = 3_600_000_000  # microseconds; a deadline beyond that is none
@@ -149,7 +150,7 @@
                  log: Callable[..., None]) -> None:
         self.router, self.types, self.descriptors, self.clock, self.log = router, frozenset(types), descriptors, clock, log
         bounds = Bounds(body=BODY_MOST, request_s=OPENING_S, idle_s=KEPT_S, first_s=OPENING_S, opening_s=OPENING_S,
-                        waiting=BODY_MOST)
+                        waiting=BODY_MOST, linger_s=LINGER_S)
         self.factory = ServerFactory(clock, bounds, self._asked, self)
         self.ready = self.stopping = False
         self.turned_away = self.shed = 0
@@ -157,13 +158,18 @@
         self._over: OrderedDict[str, None] = OrderedDict()
         self._look: IDelayedCall | None = None
 
+    @property
+    def reading(self) -> bool:
+        """Whether a request has come in part, or waits for its turn; each is bounded in time."""
+        return any(c.state is At.READING for c in self.factory.connections)
+
     def stop(self) -> None:
         """Takes no new sequence: who comes is told, and each connection ends after its answer. Idle ones go now."""
         self.ready, self.stopping = False, True
         self.factory.last_answers()
         for connection in list(self.factory.connections):
             if connection.state is At.IDLE and not connection.silent:
-                connection.stop()
+                connection.stop()  # one with unread bytes has asked: it is answered first
 
     # Requests.
 
@@ -250,4 +256,4 @@
         known.sort(key=lambda c: c.idle_since)
         for connection in strangers + known[:max(0, self.descriptors.room() - len(strangers))]:
             self.shed += 1
-            connection.stop()
+            connection.shed()
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -21,7 +21,7 @@
 from ..core.router import Router
 from ..decisions.interface import Role
 from . import config
-from .clients import Clients
+from .clients import LINGER_S, OPENING_S, Clients
 from .discovery import Discovery
 from .engines import PlatformEngines
 
@@ -30,7 +30,7 @@
 ENGINES_LESS = 24          # descriptors beside clients' and engines': discovery, listener, log, the reactor's own
 READY_S = 1.5              # a node whose discovery does not answer goes ahead with the list that it was given
 LAST_COMERS_S = 0.6        # DEPLOY: for 0.4 s after SIGTERM new connections keep coming
-QUIET_S = 1.0              # that a stopping node waits for last bytes to leave
+QUIET_S = OPENING_S + LINGER_S  # that a stopping node waits for last bytes to leave: each connection is bounded by that
 LOOK_S = 0.05              # between looks at what a stopping node still owes
 FIGURES_S = 5.0            # between lines of figures
 LATE_S, LATE_EVERY_S = 0.25, 0.1  # a loop that is later than this is told
@@ -107,7 +107,7 @@
         self._wait()
 
     def _wait(self) -> None:
-        if self.router.flights or self.engines.releases:
+        if self.router.flights or self.engines.releases or self.clients.reading:
             self.reactor.callLater(LOOK_S, self._wait)
             return
         self.clients.factory.stop()
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -13,7 +13,7 @@
 from typing import Protocol as Shape
 
 import httptools
-from twisted.internet.interfaces import IDelayedCall, IListeningPort, IPushProducer, IReactorTime
+from twisted.internet.interfaces import IDelayedCall, IHalfCloseableProtocol, IListeningPort, IPushProducer, IReactorTime
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
 from zope.interface import implementer
@@ -51,6 +51,7 @@
     waiting: int = 1_048_576
     send_buffer: int = 0   # bytes of the kernel's send buffer, and as many of our own; 0: as the system has it
     opening_s: float = 0.0  # from connecting until its first request is whole; 0: bounded by the others alone
+    linger_s: float = 0.0  # for the client's end after ours, reading on; 0: closed at once, over whatever is unread
 
 
 class Exchange:
@@ -142,7 +143,7 @@
             gone(reason)
 
 
-@implementer(IPushProducer)
+@implementer(IPushProducer, IHalfCloseableProtocol)
 class ServerConnection(Protocol):
     """Speaks HTTP/1.1 as a server and hands whole requests to ``handle``, one at a time."""
 
@@ -167,6 +168,7 @@
         self._timer: IDelayedCall | None = None
         self._waiting: list[bytes] = []
         self._waits = 0
+        self._linger_s = bounds.linger_s
         self.paused = False
 
     @property
@@ -177,20 +179,22 @@
     @property
     def unread(self) -> bool:
         """Whether the kernel holds something from the client that the loop has not come to yet."""
-        try:
-            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
-            return False
+        return bool(self._peek())
 
     @property
     def left(self) -> bool:
         """Whether the kernel holds the client's end and the loop has not come to it yet."""
+        return self._peek() == b""
+
+    def _peek(self) -> bytes | None:
+        """The next byte that the kernel holds, or its end; None: nothing, or a transport that is no socket."""
+        handle = getattr(self.transport, "getHandle", None)
         try:
-            return not self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            return handle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) if handle else None
         except BlockingIOError:
-            return False
-        except OSError:
-            return True
+            return None
+        except OSError:  # reset, or closed by us
+            return b""
 
     # The socket.
 
@@ -226,6 +230,18 @@
         if self.state is At.READING and self._whole:
             self._take()
 
+    def readConnectionLost(self) -> None:
+        """The client ended its sending: it has left, or has heard our own end."""
+        self._end("the client left")
+        self._bound(self.bounds.request_s, self.transport.abortConnection)
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:
+        """Our end is on its way behind all that was written. What the client sends meanwhile is read, and goes nowhere: a close
+        over unread bytes would reset the connection and take the last answer with it."""
+        self._bound(self._linger_s, self.transport.loseConnection)
+
     def connectionLost(self, reason: Failure) -> None:
         self._end("the client left")
         if self._timer and self._timer.active():
@@ -243,7 +259,7 @@
         if not self.paused and self._exchange and self._exchange.room:
             self._exchange.room()
         if self.state is At.CLOSED:
-            self.transport.loseConnection()
+            self._end_sending()
 
     def stopProducing(self) -> None:
         pass
@@ -310,7 +326,7 @@
                 self._chunked, self.closing = False, True
         if self._chunked:
             headers = [*headers, ("transfer-encoding", "chunked")]
-        if self.closing:
+        if self.closing and not self._whole:
             headers = [*headers, ("connection", "close")]
         self._write(text.response(status, headers))
 
@@ -324,7 +340,7 @@
             self._write(text.LAST_CHUNK)
         if self.state is At.CLOSED:
             return
-        if self.closing:
+        if self.closing and not self._whole:
             return self._close()
         self._change(At.READING if self._building or self._whole else At.IDLE)
         if self._whole:  # the next request is here already
@@ -346,11 +362,16 @@
     # Ends.
 
     def stop(self) -> None:
-        """Takes no further request; what is owed is still answered."""
+        """Takes no further request; what is owed is still answered, and what came before this was known is answered too."""
         self.closing = True
-        if self.state in (At.IDLE, At.READING):
+        if self.state is At.IDLE and not self.unread or self.state is At.READING and not self._whole:
             self._close()
 
+    def shed(self) -> None:
+        """Makes room at once: the connection asks nothing, and nothing of its last answer is on the way any more."""
+        self.closing = True
+        self._close(0.0)
+
     def break_off(self) -> None:
         self._exchange = None
         self._close()
@@ -359,13 +380,22 @@
         self._end("cut off")
         self.transport.abortConnection()
 
-    def _close(self) -> None:
+    def _close(self, linger_s: float | None = None) -> None:
         """Closes in good order: what is written gets out first, if the client takes it within a request's time."""
         self._end("closed")
-        self._timer = self.clock.callLater(self.bounds.request_s, self.transport.abortConnection)
+        self._linger_s = self.bounds.linger_s if linger_s is None else linger_s
+        self._bound(self.bounds.request_s, self.transport.abortConnection)
         if not self._waiting:
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
+            self._end_sending()
+
+    def _bound(self, after: float, then: Callable[[], None]) -> None:
+        if self._timer and self._timer.active():
+            self._timer.cancel()
+        self._timer = self.clock.callLater(after, then)
+
+    def _end_sending(self) -> None:
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection() if self._linger_s else self.transport.loseConnection()
 
     def _end(self, reason: str) -> None:
         if self.state is not At.CLOSED:
@@ -391,6 +421,8 @@
     def _late(self) -> None:
         if self.state is At.READING:
             self._refuse(408, f"the request was not complete within {self.bounds.request_s:g} s")
+        elif self.unread:  # it has just begun a request
+            self._timer = self.clock.callLater(0, self._late)
         else:
             self._close()
 
--- a/tests/platform_stand.py
+++ b/tests/platform_stand.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from twisted.internet import reactor
+from twisted.internet.defer import maybeDeferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 
@@ -169,7 +170,7 @@
     async def close(self) -> None:
         self.node.discovery.stop()
         self.node.engines.close()
-        await self.node._port.stopListening()
+        await maybeDeferred(self.node._port.stopListening)
         for client in self.clients:
             client.transport.abortConnection()
         for party in (self.discovery, *self.engines.values()):
--- a/tests/test_platform_races.py
+++ b/tests/test_platform_races.py
@@ -2,10 +2,11 @@
 import socket
 
 import pytest
+from twisted.internet.threads import deferToThread
 
 from aniserudder.platform import discovery
 from aniserudder.wire.client import At
-from platform_stand import FULL, READ, STREAM, WHOLE, Never, Party, Site, ask, body_of
+from platform_stand import EVENT, FULL, HEAD, LAST, READ, STREAM, WHOLE, Never, Party, Site, ask, body_of, chunked
 from stand import on_loop, sleep, until
 
 LET_GO = {"family-info": {"duty-by-kind": ["read", "write", "both"], "self-prefill": True, "let-go-by": 0.2,
@@ -345,3 +346,156 @@
         await site.close()
         return places
     assert on_loop(scene) == ["m2"]
+
+
+# Connections that end.
+
+class Plain:
+    """A client on a blocking socket: what it does happens at once, without a turn of the loop."""
+
+    def __init__(self, site):
+        self.socket = socket.create_connection(site.node.address, timeout=5)
+        self.reset = False
+
+    def say(self, data):
+        self.socket.sendall(data)
+
+    def hear(self):
+        """What comes until the connection's end, and whether that was a reset."""
+        data = b""
+        while True:
+            try:
+                piece = self.socket.recv(65536)
+            except ConnectionResetError:
+                self.reset = True
+                break
+            if not piece:
+                break
+            data += piece
+        return data
+
+    def statuses(self, data):
+        return [int(part.split(b" ")[0]) for part in data.split(b"HTTP/1.1 ")[1:]]
+
+
+async def rested(site):
+    """A client whose first request has been answered, and that has not read the answer."""
+    client = Plain(site)
+    client.say(ask("a1"))
+    await until(lambda: site.node.router.counts.generated)
+    await until(lambda: any(c.state.value == "idle" and not c.silent for c in site.node.clients.factory.connections))
+    return client
+
+
+def hear(client):
+    return deferToThread(client.hear)
+
+
+def test_a_request_that_the_kernel_holds_at_sigterm_is_answered_and_not_sent_on():
+    """Idle connections were closed over it: a reset."""
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}).up()
+        client = await rested(site)
+        client.say(ask("a2"))
+        site.node.stop()  # in the same turn
+        data = await hear(client)
+        await site.close()
+        return client.statuses(data), client.reset, len(site.engines["m1"].requests)
+    assert on_loop(scene) == ([200, 503], False, 1)
+
+
+def test_what_comes_as_a_connection_ends_does_not_take_its_last_answer_with_it():
+    """A close over unread bytes resets the connection, and what the kernel still held for the client is gone."""
+    piece = EVENT % (b"x" * 40_000)
+
+    async def scene():
+        site = await Site({"m1": answers(HEAD + chunked(*[piece] * 5, LAST) + b"0\r\n\r\n")}).up()
+        client, over = Plain(site), site.node.clients.over
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await until(lambda: site.node.clients.factory.connections)
+        connection = next(iter(site.node.clients.factory.connections))
+        connection.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+
+        def speaks_just_now(id):
+            client.say(ask("a2"))
+            over(id)
+        site.node.clients.over = speaks_just_now
+        client.say(ask("a1", extra="Connection: close\r\n"))
+        await until(lambda: site.node.router.counts.generated)
+        await sleep(0.1)
+        data = await hear(client)
+        await site.close()
+        return client.statuses(data), data.endswith(b"0\r\n\r\n"), client.reset, len(site.engines["m1"].requests)
+    assert on_loop(scene) == ([200], True, False, 1)
+
+
+def test_half_a_request_at_sigterm_is_answered_when_the_rest_comes():
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}).up()
+        client = await rested(site)
+        client.say(ask("a2")[:-9])
+        await until(lambda: site.node.clients.reading)
+        site.node.stop()
+        await until(lambda: not site.node._port.connected)
+        await sleep(0.1)
+        client.say(ask("a2")[-9:])
+        data = await hear(client)
+        await site.close()
+        return client.statuses(data), client.reset
+    assert on_loop(scene) == ([200, 503], False)
+
+
+def test_a_whole_request_that_waits_for_its_turn_is_answered_when_the_listener_stops():
+    """Two requests at once; the stop comes between the first one's answer and the second one's turn."""
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}).up()
+        over = site.node.clients.over
+
+        def first_is_over(id):
+            site.node.clients.over = over
+            site.node.reactor.callLater(0, site.node.clients.factory.stop)
+            over(id)
+        site.node.clients.over = first_is_over
+        client = Plain(site)
+        client.say(ask("a1") + ask("a2"))
+        data = await hear(client)
+        await site.close()
+        return client.statuses(data), client.reset
+    assert on_loop(scene) == ([200, 200], False)
+
+
+def test_a_request_that_comes_as_its_connection_has_rested_for_too_long_is_answered():
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}).up()
+        client = await rested(site)
+        connection = next(c for c in site.node.clients.factory.connections if not c.silent)
+        client.say(ask("a2", extra="Connection: close\r\n"))
+        connection._late()  # the timer goes off before the loop has read
+        data = await hear(client)
+        await site.close()
+        return client.statuses(data), client.reset
+    assert on_loop(scene) == ([200, 200], False)
+
+
+def test_an_answer_that_its_client_is_slow_to_take_gets_out_before_a_node_ends():
+    """More than the kernel takes at once, and a client that reads on only when the node has waited for a second."""
+    piece = EVENT % (b"x" * 40_000)
+
+    async def scene():
+        site = await Site({"m1": answers(HEAD + chunked(*[piece] * 6, LAST) + b"0\r\n\r\n")}).up()
+        client = Plain(site)
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
+        await until(lambda: site.node.clients.factory.connections)
+        connection = next(iter(site.node.clients.factory.connections))
+        connection.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+        client.say(ask("a1"))
+        await until(lambda: site.node.router.counts.generated)
+        stopped = site.node.stop()
+        await until(lambda: not site.node.router.flights and not site.node._port.connected)
+        await sleep(1.1)
+        early = stopped.called  # the process would have ended by now
+        data = await hear(client)
+        await stopped
+        await site.close()
+        return early, data.endswith(b"0\r\n\r\n"), len(data) > 240_000
+    assert on_loop(scene) == (False, True, True)
