Signals are heeded from the program's first line; a second SIGTERM raises nothing

Each SIGTERM added a callback that stops the reactor: the second raised ReactorNotRunning inside a Deferred.

Change: platform/signals.py notes what comes from __main__'s first line on; run() drops a SIGHUP from before the file was read, ends with 0 if it was told to end before it listened, and hands the rest to the reactor. The reactor is stopped once.

Refuted: SIGHUP while stopping and before the reactor runs were right. Not covered: the interpreter's own start, before the first line.

--- a/aniserudder/__main__.py
+++ b/aniserudder/__main__.py
@@ -2,9 +2,12 @@
 import sys
 
 if sys.argv[1:] == ["node"]:
+    from .platform.signals import Signals
+
+    signals = Signals().heed()  # before the imports, which take a while
     from .platform.node import run
 
-    sys.exit(run())
+    sys.exit(run(signals))
 
 from .cli import main
 
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -24,6 +24,7 @@
 from .clients import LINGER_S, OPENING_S, Clients
 from .discovery import Discovery
 from .engines import PlatformEngines
+from .signals import Signals
 
 LEVEL = "NODE_LOG_LEVEL"   # variable: debug, info, warning or error
 CLIENTS_PART = 0.55        # of all descriptors
@@ -59,7 +60,8 @@
                                    self._ready)
         self.latest = 0.0  # seconds; the most that the loop was late since the last line of figures
         self._port: IListeningPort | None = None
-        self._stopping: Deferred[None] | None = None
+        self._stopping = False
+        self.stopped: Deferred[None] = Deferred()
 
     def start(self) -> None:
         """Listens, and asks discovery; ready once that has answered.
@@ -94,13 +96,13 @@
         self.log("reloaded", level="info", reason=f"discovery {fresh.discovery[0]}:{fresh.discovery[1]}")
 
     def stop(self) -> Deferred[None]:
-        """Takes no new sequence, answers those taken, lets go of what is held. Fires when all is done."""
-        if self._stopping is None:
-            self._stopping = Deferred()
+        """Takes no new sequence, answers those taken, lets go of what is held. ``stopped`` fires when all is done."""
+        if not self._stopping:
+            self._stopping = True
             self.log("stopping", level="info", reason=f"{len(self.router.flights)} sequences are here")
             self.clients.stop()
             self.reactor.callLater(LAST_COMERS_S, self._close_door)
-        return self._stopping
+        return self.stopped
 
     def _close_door(self) -> None:
         self._port.stopListening()
@@ -120,10 +122,10 @@
             self.reactor.callLater(LOOK_S, self._leave, until)
             return
         self.log("stopped", level="info", reason=f"{self.router.counts.taken} sequences were taken")
-        self._stopping.callback(None)
+        self.stopped.callback(None)
 
     def _ready(self) -> None:
-        if self._stopping is None and not self.clients.ready:
+        if not self._stopping and not self.clients.ready:
             self.clients.ready = True
             gc.collect()
             gc.freeze()  # what is here now stays: no collection need look at it again
@@ -177,11 +179,16 @@
     return write
 
 
-def run() -> int:
-    """Runs one node until SIGTERM or SIGINT. Returns the exit code: 0 stopped in order, 2 bad configuration."""
+def run(signals: Signals | None = None) -> int:
+    """Runs one node until SIGTERM or SIGINT. Returns the exit code: 0 stopped in order, 2 bad configuration.
+
+    ``signals``: heeded since the program's start, if its caller did so.
+    """
     from twisted.internet import reactor
+    signals = signals or Signals().heed()
     try:
         path = config.path_of()
+        signals.forget(signal.SIGHUP)  # the file is read now
         conf = config.read(path)
     except config.BadConfig as wrong:
         print(wrong, file=sys.stderr)
@@ -201,11 +208,12 @@
     least = order.index(level)
     node = PlatformNode(conf, reactor, log)
 
-    def stop(number: int, frame: object) -> None:
-        reactor.callFromThread(lambda: node.stop().addCallback(lambda _: reactor.running and reactor.stop()))
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
-    signal.signal(signal.SIGHUP, lambda number, frame: reactor.callFromThread(node.reload, path))
+    def told(number: int) -> None:
+        reactor.callFromThread(node.reload, path) if number == signal.SIGHUP else reactor.callFromThread(node.stop)
+    if signals.ends:
+        return 0  # nothing was taken yet
+    node.stopped.addCallback(lambda _: reactor.stop())
+    signals.tell(told)
     try:
         node.start()
     except CannotListenError as taken:
--- a/tests/platform_stand.py
+++ b/tests/platform_stand.py
@@ -156,12 +156,12 @@
         await until(lambda: self.node.clients.ready and self.watches)
         return self
 
-    async def client(self, data: bytes = b"") -> Raw:
+    async def client(self, data: bytes = b"", at: tuple[str, int] | None = None) -> Raw:
         factory = Factory()
         factory.noisy = False
         client = Raw("client", self.log, lambda c, d: None)
         factory.buildProtocol = lambda addr: client
-        await TCP4ClientEndpoint(reactor, *self.node.address).connect(factory)
+        await TCP4ClientEndpoint(reactor, *(at or self.node.address)).connect(factory)
         self.clients.append(client)
         if data:
             client.say(data)
@@ -170,7 +170,8 @@
     async def close(self) -> None:
         self.node.discovery.stop()
         self.node.engines.close()
-        await maybeDeferred(self.node._port.stopListening)
+        if self.node._port:  # it ran in this process
+            await maybeDeferred(self.node._port.stopListening)
         for client in self.clients:
             client.transport.abortConnection()
         for party in (self.discovery, *self.engines.values()):
--- a/tests/test_platform_races.py
+++ b/tests/test_platform_races.py
@@ -1,11 +1,17 @@
 """What comes between two lines of the platform node: each bad order is made to happen, on real connections."""
+import json
+import os
+import signal
 import socket
+import subprocess
+import sys
 
 import pytest
 from twisted.internet.threads import deferToThread
 
 from aniserudder.platform import discovery
 from aniserudder.wire.client import At
+from aniserudder.wire.text import free_port
 from platform_stand import EVENT, FULL, HEAD, LAST, READ, STREAM, WHOLE, Never, Party, Site, ask, body_of, chunked
 from stand import on_loop, sleep, until
 
@@ -499,3 +505,88 @@
         await site.close()
         return early, data.endswith(b"0\r\n\r\n"), len(data) > 240_000
     assert on_loop(scene) == (False, True, True)
+
+
+# Signals, at every moment of a process's life.
+
+AT_IMPORT = """
+import os, runpy, sys
+class Hook:
+    def find_spec(self, name, path=None, target=None):
+        if name == "twisted.internet.defer":
+            sys.meta_path.remove(self)
+            os.kill(os.getpid(), {number})
+sys.meta_path.insert(0, Hook())
+sys.argv = ["aniserudder", "node"]
+runpy.run_module("aniserudder", run_name="__main__")
+"""
+BEFORE_THE_LOOP = """
+import os, sys
+import aniserudder.platform.node as node
+inner = node.PlatformNode.start
+def start(self):
+    inner(self)
+    for number in {numbers}:
+        os.kill(os.getpid(), number)
+node.PlatformNode.start = start
+sys.exit(node.run())
+"""
+
+
+def process(tmp_path, site, code):
+    site.conf["listen"] = f"127.0.0.1:{free_port()}"
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(site.conf))
+    env = {**os.environ, "NODE_CONFIG": str(path), "NODE_LOG_LEVEL": "info"}
+    return subprocess.Popen([sys.executable, "-c", code], env=env, stderr=subprocess.PIPE, text=True)
+
+
+def ended(process):
+    return deferToThread(process.communicate, timeout=10)
+
+
+@pytest.mark.parametrize("code", [AT_IMPORT.format(number=int(signal.SIGTERM)),
+                                  BEFORE_THE_LOOP.format(numbers=[int(signal.SIGTERM)] * 2),
+                                  BEFORE_THE_LOOP.format(numbers=[int(signal.SIGTERM), int(signal.SIGHUP)])])
+def test_a_process_told_to_end_before_it_runs_ends_in_order(tmp_path, code):
+    async def scene():
+        site = Site({"m1": silent})
+        node = process(tmp_path, site, code)
+        _, said = await ended(node)
+        await site.close()
+        return node.returncode, "Traceback" in said or "Unhandled" in said
+    assert on_loop(scene) == (0, False)
+
+
+@pytest.mark.parametrize("code", [AT_IMPORT.format(number=int(signal.SIGHUP)),
+                                  BEFORE_THE_LOOP.format(numbers=[int(signal.SIGHUP)] * 2)])
+def test_a_reload_before_a_process_runs_does_not_end_it(tmp_path, code):
+    async def scene():
+        site = Site({"m1": silent})
+        node = process(tmp_path, site, code)
+        await until(lambda: site.watches or node.poll() is not None)
+        alive = node.poll() is None
+        node.send_signal(signal.SIGTERM)
+        await ended(node)
+        await site.close()
+        return alive, node.returncode
+    assert on_loop(scene) == (True, 0)
+
+
+def test_a_stopping_process_heeds_no_second_word_and_still_answers(tmp_path):
+    async def scene():
+        site = Site({"m1": silent})
+        node = process(tmp_path, site, "import sys; from aniserudder.platform.node import run; sys.exit(run())")
+        await until(lambda: site.watches)
+        host, _, port = site.conf["listen"].rpartition(":")
+        client = await site.client(ask("a1"), (host, int(port)))
+        await until(lambda: site.engines["m1"].requests)
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            node.send_signal(number)
+            await sleep(0.02)  # each a signal of its own: the system joins those that wait
+        site.engines["m1"].connections[0].say(WHOLE)
+        await until(lambda: client.data.endswith(b"0\r\n\r\n"))
+        _, said = await ended(node)
+        await site.close()
+        return node.returncode, body_of(client.data), "Traceback" in said or "Unhandled" in said, said.count('"stopping"')
+    assert on_loop(scene) == (0, STREAM, False, 1)
