What a client says of its operation reaches the engine: all headers pass but a node's own

A trial that printed requests (3 nodes) showed an idempotency-key header; platform/clients.PASSED_ON named three headers and left all others out. Ruled out: method, path, query and body, which pass as they came; discovery by ask.

Change: every header passes but those of one connection (RFC 9110, 7.6.1, and what `Connection` names) and those that the node writes itself.

--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -30,7 +30,10 @@
 ID_MOST, NAME_MOST = 128, 256
 REMEMBERED = 4_096       # ids of requests that are over: an id never comes twice
 LOOK_EVERY = 0.05        # seconds between looks at who may be closed, while room is short
-PASSED_ON = ("request-class", "affinity-key", "request-info")
+# Not passed on: what concerns one connection alone (RFC 9110, 7.6.1), and what the node writes itself.
+OWN_HEADERS = frozenset({"connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+                         "transfer-encoding", "upgrade", "expect", "host", "content-length", "content-type", "request-id",
+                         "request-timeout"})
 
 
 class NoRequest(Exception):
@@ -102,7 +105,8 @@
         _body.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError):
         raise NoRequest(400, "the body is no JSON object") from None
-    passed = tuple((name, headers[name]) for name in PASSED_ON if name in headers)
+    own = OWN_HEADERS | {name.strip().lower() for name in headers.get("connection", "").split(",")}
+    passed = tuple((name, value) for name, value in headers.items() if name not in own)
     return id, Request(prompt, body, target=exchange.path, headers=passed)
 
 
--- a/tests/test_platform_races.py
+++ b/tests/test_platform_races.py
@@ -507,6 +507,115 @@
     assert on_loop(scene) == (False, True, True)
 
 
+# Connections to engines.
+
+def test_a_second_answer_some_milliseconds_late_does_not_pass_for_the_next_requests():
+    """It comes on the first request's connection when the second request is out already."""
+    stale = HEAD + chunked(EVENT % b"stale", LAST) + b"0\r\n\r\n"
+
+    async def scene():
+        site = await Site({"m1": silent}).up()
+        engine = site.engines["m1"]
+        first = await site.client(ask("a1"))
+        await until(lambda: engine.requests)
+        before = engine.connections[0]
+        before.say(WHOLE)
+        await until(lambda: site.node.router.counts.generated)
+        second = await site.client(ask("a2"))
+        await until(lambda: len(engine.requests) == 2)
+        before.say(stale)
+        await until(lambda: before.over)  # who speaks unasked is not kept
+        engine.connections[-1].say(WHOLE)
+        await until(lambda: second.data.endswith(b"0\r\n\r\n"))
+        await site.close()
+        return body_of(first.data), body_of(second.data)
+    assert on_loop(scene) == (STREAM, STREAM)
+
+
+def test_an_idle_connection_is_used_again_once_it_has_settled():
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}).up()
+        for id in ("a1", "a2"):
+            client = await site.client(ask(id))
+            await until(lambda: client.data.endswith(b"0\r\n\r\n"))
+            await sleep(0.07)
+        await site.close()
+        return len(site.engines["m1"].connections)
+    assert on_loop(scene) == 1
+
+
+def test_what_a_client_says_of_its_operation_reaches_the_engine():
+    """Seen on a deployment with keyed types: without its Idempotency-Key a request is not as its client sent it. What concerns one
+    connection alone stays behind."""
+    extra = "Idempotency-Key: 706edd30\r\nX-Trace: t1\r\nConnection: x-hop\r\nX-Hop: 1\r\nTE: trailers\r\nContent-Type: text/odd\r\n"
+
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}).up()
+        client = await site.client(ask("a1", extra=extra))
+        await until(lambda: client.data.endswith(b"0\r\n\r\n"))
+        await site.close()
+        return site.engines["m1"].requests[0].lower().split(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+    lines = [line.partition(b": ") for line in on_loop(scene)]
+    names = [name for name, _, _ in lines]
+    assert (b"idempotency-key", b": ", b"706edd30") in lines and (b"x-trace", b": ", b"t1") in lines
+    assert not {b"connection", b"x-hop", b"te"} & set(names) and len(names) == len(set(names))
+
+
+# Descriptors.
+
+def test_a_queue_of_clients_taken_in_one_turn_leaves_descriptors_for_all_else():
+    """The whole queue waits before the listener is read once: the share is not exceeded by one connection."""
+    async def scene():
+        site = await Site({"m1": answers(WHOLE)}).up()
+        port, clients = site.node._port, []
+        port.stopReading()
+        for _ in range(200):
+            one = socket.socket()
+            one.setblocking(False)
+            one.connect_ex(site.node.address)
+            clients.append(one)
+        port.numberAccepts = 1000
+        port.doRead()  # one turn
+        most, here = site.node.clients.descriptors.most_clients, len(site.node.clients.factory.connections)
+        for one in clients:
+            one.close()
+        await site.close()
+        return most, here
+    most, here = on_loop(scene)
+    assert here <= most
+
+
+def test_a_node_full_of_idle_clients_finds_discovery_again_and_says_that_it_is_ready(tmp_path):
+    """Under a limit of the system's own. Each client has been answered, so none is a stranger."""
+    code = ("import resource, sys; resource.setrlimit(resource.RLIMIT_NOFILE, (160, 160));"
+            "from aniserudder.platform.node import run; sys.exit(run())")
+
+    async def scene():
+        site = Site({"m1": answers(WHOLE)})
+        site.conf["limits"] = {"sockets": 160}
+        node = process(tmp_path, site, code)
+        await until(lambda: site.watches)
+        host, _, port = site.conf["listen"].rpartition(":")
+        at = host, int(port)
+        site.discovery.answer = silent  # it takes calls and says nothing any more
+        for connection in site.discovery.connections:
+            connection.transport.abortConnection()
+        for i in range(150):
+            await site.client(ask(f"i{i}"), at)
+        await until(lambda: sum(c.data.endswith(b"0\r\n\r\n") for c in site.clients) >= 80, 8)
+        site.watches.clear()
+        site.discovery.answer = site._discovers  # it is back
+        await until(lambda: site.watches, 3)
+        ready = await site.client(b"GET /health/ready HTTP/1.1\r\nhost: x\r\n\r\n", at)
+        usual = await site.client(ask("a1"), at)
+        await until(lambda: ready.data and usual.data.endswith(b"0\r\n\r\n"), 6)
+        node.send_signal(signal.SIGTERM)
+        _, said = await ended(node)
+        await site.close()
+        return status(ready.data), body_of(usual.data), node.returncode, "Traceback" in said
+    assert on_loop(scene) == (200, STREAM, 0, False)
+
+
 # Signals, at every moment of a process's life.
 
 AT_IMPORT = """
