A connection settles for 50 ms after an answer before it is used again

Seen (reading, then a test): platform connections were handed to the next request as soon as an answer had ended. `quiet` looks at the kernel, which cannot know of what is still on the way.

A connection that is spoken on while it settles is closed, as before. IdleAges (Ages).

--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -34,6 +34,7 @@
 EVENT_MOST = 65_536      # bytes of one event, and of one small answer
 CHUNK_MOST = 262_144     # bytes of one chunk: a body holds no more
 IDLE_PART = 0.6          # of the time after which engines close idle connections
+SETTLE_S = 0.05          # STANDING: a second answer may come some milliseconds late
 IDLE_MOST = 32           # idle connections kept for an engine
 RELEASE_SLACK_S = 0.3    # STANDING: what is held has 300 ms more than the settings say
 RELEASES_IN_SLACK = 4    # tries of letting go, each at another engine, that fit into it
@@ -258,7 +259,8 @@
     """
 
     def __init__(self, reactor: IReactorTCP, facts: Facts, most: int, log: Callable[..., None]) -> None:
-        super().__init__(reactor, Keeping(facts.connect / 1e6, IDLE_PART * facts.idle / 1e6, IDLE_MOST, most, CHUNK_MOST))
+        super().__init__(reactor, Keeping(facts.connect / 1e6, IDLE_PART * facts.idle / 1e6, IDLE_MOST, most, CHUNK_MOST,
+                                          settle_s=SETTLE_S))
         self.log = log
         self.runs: dict[str, AttemptExchange] = {}         # by sequence: one schedule attempt at a time
         self.releases: dict[str, Release] = {}  # that no engine has heard of yet
--- a/aniserudder/wire/connections.py
+++ b/aniserudder/wire/connections.py
@@ -44,7 +44,7 @@
 RISKY, SEEN = 0.03, 0.5  # an age is risky above this share of resets, if so many were seen
 
 
-class Ages:
+class IdleAges:
     """What became of requests on kept connections, by how long these had been idle.
 
     Guards against servers, or whatever stands before them, that end idle connections without a word in time: a request on
@@ -91,13 +91,15 @@
 @dataclass(slots=True, frozen=True)
 class Keeping:
     """How connections are made and kept: seconds for making one and for keeping an idle one, idle ones of a server,
-    connections in all (0: any), bytes of one chunk (0: any), local address (empty: any)."""
+    connections in all (0: any), bytes of one chunk (0: any), local address (empty: any), seconds that one rests after an
+    answer before it is used again: what a server sends behind an answer must not pass for the next one's."""
     connect_s: float
     idle_s: float
     idle_most: int
     most: int = 0
     chunk_most: int = 0
     bind: str = ""
+    settle_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -122,7 +124,7 @@
         self.reactor, self.keeping = reactor, keeping
         self.places: dict[str, Place] = {}
         self.counts = ConnectionCounts()
-        self.ages = Ages()
+        self.idle_ages = IdleAges()
         self.open = 0        # connections that are open or being made
         self.on_exhausted: Callable[[], None] = lambda: None  # told when there was no descriptor for a connection
         self.closed = False
@@ -212,8 +214,10 @@
         for at in range(len(place.idle) - 1, -1, -1):
             connection, since = place.idle[at]
             connection.rested = now - since
+            if connection.rested < self.keeping.settle_s:
+                continue
             if connection.rested < self.keeping.idle_s and connection.quiet:
-                if self.ages.risky(connection.rested, now):
+                if self.idle_ages.risky(connection.rested, now):
                     self.counts.rested += 1
                     continue
                 del place.idle[at]
@@ -226,7 +230,7 @@
     def fared(self, connection: ClientConnection, good: bool) -> None:
         """A request on a connection was answered, or reset before a byte of its answer. Fresh ones tell nothing."""
         if connection.rested >= 0:
-            self.ages.note(connection.rested, good, self.reactor.seconds())
+            self.idle_ages.note(connection.rested, good, self.reactor.seconds())
 
     def free(self, connection: ClientConnection) -> None:
         """A connection that nobody uses any more."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,7 +11,7 @@
 
 from aniserudder.platform import config, discovery, engines
 from aniserudder.platform.node import PlatformNode, bounded
-from aniserudder.wire.connections import Ages
+from aniserudder.wire.connections import IdleAges
 from platform_stand import EVENT, FULL, HEAD, LAST, READ, SETTINGS, STREAM, WHOLE, Site, ask, body_of, chunked
 from stand import on_loop, sleep, until
 
@@ -154,7 +154,7 @@
 
 
 def test_ages_at_which_kept_connections_were_reset_are_passed_over():
-    ages = Ages()
+    ages = IdleAges()
     for n in range(20):
         ages.note(0.02, True, n)
     ages.note(0.15, False, 20.0)
