A request that comes before discovery has answered waits for the list

The front notices a death only after seconds, so it sends to a new process that listens but has not asked yet, and what the agent has counts as told from the process's first moment (here from 13.07 s, when 15 engines began to drain). Faulty: platform/clients._asked handed requests to the router whatever `ready` was. Ruled out: late loops (92 ms at most over 937 lines of figures, 3 ms in 99 of 100), the return of discovery (all nodes had the list within 45 ms of the first), a connection that comes up late (250 ms at most).

Change: such requests are kept until the list is there, with the time that is left of them, answered in time if it does not come, when the client goes and when the node stops.

Measured: three tests with an agent that has not answered; two fail before (sent to the draining engine; sent on instead of answered).

--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -8,6 +8,7 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 
 import msgspec
 from twisted.internet.interfaces import IDelayedCall, IListeningPort, IReactorTime
@@ -110,6 +111,15 @@
     return id, Request(prompt, body, target=exchange.path, headers=passed)
 
 
+@dataclass(slots=True, frozen=True)
+class Early:
+    """A request that came before discovery had answered: by an old list it could go where it may not."""
+    exchange: Exchange
+    request: Request
+    came: float
+    timer: IDelayedCall
+
+
 class StreamAnswer:
     """One client's side of a sequence (``core.ports.Answer``)."""
 
@@ -159,6 +169,7 @@
         self.ready = self.stopping = False
         self.turned_away = self.shed = 0
         self.port: IListeningPort | None = None
+        self._early: dict[str, Early] = {}  # came before the list was known
         self._over: OrderedDict[str, None] = OrderedDict()
         self._look: IDelayedCall | None = None
 
@@ -170,6 +181,8 @@
     def stop(self) -> None:
         """Takes no new sequence: who comes is told, and each connection ends after its answer. Idle ones go now."""
         self.ready, self.stopping = False, True
+        for id, one in list(self._early.items()):
+            self._refuse(id, one.exchange, "the node is stopping")
         self.factory.last_answers()
         for connection in list(self.factory.connections):
             if connection.state is At.IDLE and not connection.silent:
@@ -182,18 +195,44 @@
             return exchange.reply(200 if self.ready else 503, b"")
         try:
             id, request = request_of(exchange, self.types)
-            if id in self.router.flights or id in self._over:
+            if id in self.router.flights or id in self._over or id in self._early:
                 raise NoRequest(409, "this Request-Id has come before")
         except NoRequest as wrong:
             self.turned_away += 1
             return self.fail(exchange, wrong.status, str(wrong))
-        if self.stopping:
-            self.turned_away += 1
-            return self.fail(exchange, 503, "the node is stopping")
         exchange.body = bytearray()  # the request holds it
         exchange.gone = lambda reason: self._left(id)
         exchange.connection.ticket = exchange.connection  # no stranger any more
-        self.router.take(id, request, StreamAnswer(self, exchange, id))
+        if self.stopping:
+            self._refuse(id, exchange, "the node is stopping")
+        elif self.ready:
+            self.router.take(id, request, StreamAnswer(self, exchange, id))
+        else:
+            self._early[id] = Early(exchange, request, self.clock.seconds(), self.clock.callLater(
+                request.prompt.time_left / 1e6, self._refuse, id, exchange, "the node has only just begun"))
+
+    def open(self) -> None:
+        """The list is known: what came before is taken, with the time that is left of it."""
+        self.ready = True
+        early, self._early = self._early, {}
+        for id, one in early.items():
+            one.timer.cancel()
+            waited = round((self.clock.seconds() - one.came) * 1e6)
+            prompt = replace(one.request.prompt, time_left=max(1, one.request.prompt.time_left - waited))
+            self.router.take(id, replace(one.request, prompt=prompt), StreamAnswer(self, one.exchange, id))
+
+    def _refuse(self, id: str, exchange: Exchange, reason: str) -> None:
+        """Not taken, and never sent on."""
+        self._forget_early(id)
+        self.turned_away += 1
+        self.over(id)
+        self.fail(exchange, 503, reason)
+
+    def _forget_early(self, id: str) -> bool:
+        one = self._early.pop(id, None)
+        if one and one.timer.active():
+            one.timer.cancel()
+        return one is not None
 
     def here(self, id: str) -> bool:
         """Whether a sequence's client has not ended its connection, as far as the kernel knows."""
@@ -208,7 +247,8 @@
 
     def _left(self, id: str) -> None:
         self.over(id)
-        self.router.client_left(id)
+        if not self._forget_early(id):
+            self.router.client_left(id)
 
     def fail(self, exchange: Exchange, status: int, reason: str, come_back: int = 0) -> None:
         """A final answer before any event. ``come_back`` in microseconds, 0: no advice."""
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -126,7 +126,7 @@
 
     def _ready(self) -> None:
         if not self._stopping and not self.clients.ready:
-            self.clients.ready = True
+            self.clients.open()
             gc.collect()
             gc.freeze()  # what is here now stays: no collection need look at it again
             self.log("ready", level="info", reason=f"{len(self.discovery.listed)} engines, {resident_kb() // 1024} MB")
--- a/tests/test_platform_races.py
+++ b/tests/test_platform_races.py
@@ -354,6 +354,62 @@
     assert on_loop(scene) == ["m2"]
 
 
+# A process that has only just begun: what the agent has counts as told from its first moment.
+
+async def begun(engines, **settings):
+    """A node that listens, and whose agent has not answered yet."""
+    site = Site(engines, **settings)
+    agent = Agent(site)
+    site.node.start()
+    await until(lambda: agent.calls)
+    return site, agent
+
+
+def test_a_request_that_comes_before_the_list_waits_for_it():
+    """Seen on herd+mass: a front that had not noticed the death sent on, and the node sent it where the old list said (two nodes, 40 and
+    54 ms before they were ready; in the score a request went to an engine 0.39 s after its drain was told)."""
+    async def scene():
+        site, agent = await begun({"m1": answers(WHOLE), "m2": answers(WHOLE)})
+        client = await site.client(ask("a1"))
+        thief = await site.client(ask("a1"))
+        await until(lambda: thief.data and client.data or site.node.clients._early)
+        agent.answer(site.listed(site.member("m1", "DRAINING"), site.member("m2")))
+        await until(lambda: client.data.endswith(b"0\r\n\r\n") and thief.data)
+        asked = {n: len(e.requests) for n, e in site.engines.items()}
+        await site.close()
+        return asked, body_of(client.data), status(thief.data)
+    assert on_loop(scene) == ({"m1": 0, "m2": 1}, STREAM, 409)
+
+
+def test_a_request_that_came_before_the_list_is_answered_in_its_time():
+    async def scene():
+        site, agent = await begun({"m1": answers(WHOLE)})
+        hasty, gone = await site.client(ask("a1", left="0.3")), await site.client(ask("a2"))
+        await until(lambda: len(site.node.clients._early) == 2)
+        gone.transport.abortConnection()
+        came = now()
+        await until(lambda: hasty.data)
+        took = now() - came
+        agent.answer(site.listed(site.member("m1")))
+        await until(lambda: site.node.clients.ready)
+        await sleep(0.05)
+        await site.close()
+        return status(hasty.data), took < 0.5, site.engines["m1"].requests, site.node.router.counts.taken
+    assert on_loop(scene) == (503, True, [], 0)
+
+
+def test_a_request_that_came_before_the_list_is_answered_when_the_node_stops():
+    async def scene():
+        site, agent = await begun({"m1": answers(WHOLE)})
+        client = await site.client(ask("a1"))
+        await until(lambda: site.node.clients._early)
+        site.node.stop()
+        await until(lambda: client.data and client.over)
+        await site.close()
+        return status(client.data), site.engines["m1"].requests
+    assert on_loop(scene) == (503, [])
+
+
 # Connections that end.
 
 class Plain:
