Settings that cannot be meant are named in one plain line

Seen (tests): a connect time of 0 or of -3, a let-go time of 0, `max-attempts` of 2.5 or true, a service without a goal time were taken as they came (without a goal time every sequence is refused); a list for an object said "'list' object has no attribute 'get'".

Change: platform/config.check, a table of what each number may be; the line names the setting. null counts as missing.

--- a/aniserudder/platform/config.py
+++ b/aniserudder/platform/config.py
@@ -80,6 +80,60 @@
         raise BadConfig(f"{path}: {wrong}") from None
 
 
+# What a number of the settings may be, where one is given: section, name, least, most, whole.
+NUMBERS = (("", "balancers", 1, 1_000_000, True),
+           ("bounds", "connect-timeout", 0.001, 3600, False), ("bounds", "conn-idle", 0.001, 86_400, False),
+           ("bounds", "max-attempts", 1, 1000, True), ("bounds", "max-retry-after", 0, 86_400, False),
+           ("family-info", "let-go-by", 0.001, 3600, False),
+           ("rules", "cold", 0, 86_400, False), ("rules", "cold-share", 0, 1, False), ("rules", "fall-multiple", 0.001, 1e6, False),
+           ("rules", "drain-grace", 0, 86_400, False))
+OF_A_SERVICE = (("goal-time", 0, 86_400, False), ("deadline", 0, 86_400, False), ("window", 0, 86_400, False), ("points", 0, 1e12, False))
+
+
+def _section(of: dict[str, Any], name: str, kind: type, where: str) -> Any:
+    """A part of the settings that may be missing.
+
+    Raises:
+        ValueError: it is of another kind.
+    """
+    found = of.get(name)
+    if found is not None and not isinstance(found, kind):
+        raise ValueError(f"{where}{name}: wanted {'an object' if kind is dict else 'a list'}, found {type(found).__name__}")
+    return found or kind()
+
+
+def _check_number(of: dict[str, Any], name: str, least: float, most: float, whole: bool, where: str) -> None:
+    value = of.get(name)
+    good = isinstance(value, int if whole else (int, float)) and not isinstance(value, bool) and least <= value <= most
+    if value is not None and not good:
+        raise ValueError(f"{where}{name}: {value!r} is no {'whole ' * whole}number from {least:g} to {most:g}")
+
+
+def check(settings: Any) -> None:
+    """Says which part of the settings cannot be meant, by its name.
+
+    Raises:
+        ValueError: one of them.
+    """
+    if not isinstance(settings, dict):
+        raise ValueError("settings: not an object")
+    for name in ("bounds", "family-info", "rules", "feedback"):
+        _section(settings, name, dict, "settings: ")
+    for section, name, least, most, whole in NUMBERS:
+        of = _section(settings, section, dict, "settings: ") if section else settings
+        _check_number(of, name, least, most, whole, f"settings: {section}{'.' * bool(section)}")
+    for name in ("services", "orgs"):
+        for i, one in enumerate(_section(settings, name, list, "settings: ")):
+            if not isinstance(one, dict) or not isinstance(one.get("name"), str):
+                raise ValueError(f"settings: {name}[{i}]: an object with a name is wanted")
+            if name == "services" and not one.get("goal-time"):  # without it nothing could be in time, and all be refused
+                raise ValueError(f"settings: services[{i}].goal-time is missing")
+            for number in OF_A_SERVICE if name == "services" else (("allowance-per-s", 0, 1e12, False),):
+                _check_number(one, *number, f"settings: {name}[{i}].")
+    _section(settings, "kinds", list, "settings: ")
+    _section(_section(settings, "family-info", dict, ""), "duty-by-kind", list, "settings: family-info.")
+
+
 def decode(data: dict[str, Any]) -> Config:
     """A configuration from its JSON.
 
@@ -87,9 +141,11 @@
         KeyError, TypeError, ValueError, AttributeError: it is none.
     """
     settings = data["settings"]
-    bounds, family = settings.get("bounds", {}), settings.get("family-info", {})
+    check(settings)
+    settings = {name: value for name, value in settings.items() if value is not None}
+    bounds, family, rules = ({n: v for n, v in settings.get(s, {}).items() if v is not None} for s in ("bounds", "family-info", "rules"))
     facts = Facts(connect=micros(bounds.get("connect-timeout", 0.25)), idle=micros(bounds.get("conn-idle", 15.0)),
-                  let_go=micros(family.get("let-go-by", 0.3)), drain_grace=micros(settings.get("rules", {}).get("drain-grace")))
+                  let_go=micros(family.get("let-go-by", 0.3)), drain_grace=micros(rules.get("drain-grace")))
     seed = data.get("seed", 0)
     return Config(str(data["name"]), address(data["listen"]), address(data["discovery"]),
                   int(seed, 16) if isinstance(seed, str) else int(seed), int(data.get("limits", {}).get("sockets", 1024)),
--- a/tests/test_platform_races.py
+++ b/tests/test_platform_races.py
@@ -9,10 +9,11 @@
 import pytest
 from twisted.internet.threads import deferToThread
 
-from aniserudder.platform import discovery
+from aniserudder.platform import config, discovery
+from aniserudder.platform.node import PlatformNode
 from aniserudder.wire.client import At
 from aniserudder.wire.text import free_port
-from platform_stand import EVENT, FULL, HEAD, LAST, READ, STREAM, WHOLE, Never, Party, Site, ask, body_of, chunked
+from platform_stand import EVENT, FULL, HEAD, LAST, READ, SETTINGS, STREAM, WHOLE, Never, Party, Site, ask, body_of, chunked
 from stand import on_loop, sleep, until
 
 LET_GO = {"family-info": {"duty-by-kind": ["read", "write", "both"], "self-prefill": True, "let-go-by": 0.2,
@@ -755,3 +756,57 @@
         await site.close()
         return node.returncode, body_of(client.data), "Traceback" in said or "Unhandled" in said, said.count('"stopping"')
     assert on_loop(scene) == (0, STREAM, False, 1)
+
+
+# Settings of another customer, or of nobody.
+
+def wrong(**changes):
+    settings = json.loads(json.dumps(SETTINGS))
+    for name, value in changes.items():
+        part, _, key = name.partition("__")
+        if key:
+            settings[part.replace("_", "-")][key.replace("_", "-")] = value
+        else:
+            settings[part.replace("_", "-")] = value
+    return settings
+
+
+@pytest.mark.parametrize("settings, problem", [
+    (wrong(bounds__connect_timeout="soon"), "bounds.connect-timeout: 'soon' is no number"),
+    (wrong(bounds__connect_timeout=0), "bounds.connect-timeout: 0 is no number"),
+    (wrong(bounds__conn_idle=-3), "bounds.conn-idle: -3 is no number"),
+    (wrong(bounds__max_attempts=2.5), "bounds.max-attempts: 2.5 is no whole number"),
+    (wrong(bounds__max_attempts=True), "bounds.max-attempts: True is no whole number"),
+    (wrong(family_info__let_go_by=0), "family-info.let-go-by: 0 is no number"),
+    (wrong(family_info__duty_by_kind="read"), "family-info.duty-by-kind: wanted a list"),
+    (wrong(rules__cold_share=3), "rules.cold-share: 3 is no number"), (wrong(rules=[]), "rules: wanted an object"),
+    (wrong(rules__drain_grace="0.5"), "rules.drain-grace: '0.5' is no number"), (wrong(balancers=0), "balancers: 0 is no whole number"),
+    (wrong(services={"draft": 1}), "services: wanted a list"), (wrong(services=[7]), "services[0]: an object with a name"),
+    (wrong(services=[{"name": "x"}]), "services[0].goal-time is missing"),
+    (wrong(services=[{"name": "x", "goal-time": 1, "window": "long"}]), "services[0].window: 'long' is no number"), (7, "settings: not an object")])
+def test_a_setting_that_cannot_be_meant_is_one_plain_line(tmp_path, monkeypatch, settings, problem):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": settings}))
+    monkeypatch.setenv("NODE_CONFIG", str(path))
+    with pytest.raises(config.BadConfig) as said:
+        config.read(config.path_of())
+    assert problem in str(said.value) and "\n" not in str(said.value)
+
+
+def test_a_deployment_with_none_of_the_optional_parts_is_served():
+    """No times, no rules, no bounds, no tenants, no reports: one kind that does both, one class."""
+    bare = {"kinds": ["box"], "family-info": {"duty-by-kind": ["both"]}, "services": [{"name": "draft", "goal-time": 1.0}], "bounds": None, "rules": None}
+
+    async def scene():
+        site = Site({"m1": answers(WHOLE)})
+        member = {**site.member("m1"), "flavor": "box"}
+        del member["size"], member["cell"], member["up_since_ms"], member["locality"]
+        site.listed = lambda *members, complete=True: {"revision": 1, "complete": True, "members": [member]}
+        site.conf = {**site.conf, "settings": bare, "known": None}
+        site.node = PlatformNode(config.decode(site.conf), site.node.reactor, lambda event, **fields: None)
+        await site.up()
+        client = await site.client(ask("a1"))
+        await until(lambda: client.data.endswith(b"0\r\n\r\n"))
+        await site.close()
+        return status(client.data), body_of(client.data)
+    assert on_loop(scene) == (200, STREAM)
