Cold engines are counted up by what warm ones take, not by what arrives

Ruled out: phases (drawn per node and engine already); the spread of shares.

Change: what a warm engine of the role has read or begun counts, and is bounded by what it can. With no warm one of the role a node goes by what those took before, by the time since it looked; one that never saw any by its first guess of a reader's pace (other roles: arrivals, as before). A turn is never saved up beyond two.

--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -104,6 +104,7 @@
         self.noted: dict[object, int] = {}  # when what is usual was last noted
         self.again = MOST_AGAIN   # schedule attempts that may still replace lost ones
         self.cold: list[Engine] = []
+        self.took: dict[bool, tuple[float, int]] = {}  # by warm readers, and others: per second and size
         self.sizes = {True: 0.0, False: 0.0}  # of all listed readers, and of all others
         self.buckets: dict[str, tuple[float, int]] = {}
 
@@ -121,7 +122,7 @@
                 engine = self.engines[row.engine] = Engine(row.engine, row, role, turn=self.chance())
             elif row.started_at > engine.row.started_at:  # restarted: empty, and cold
                 engine.kept.clear()
-                engine.failures, engine.turn = 0, self.chance()
+                engine.failures, engine.turn, engine.read_at = 0, self.chance(), 0
             engine.row, engine.role = row, role
             engine.listed = row.availability is Availability.RUNNING
         for engine in list(self.engines.values()):
@@ -153,12 +154,14 @@
         return self._done()
 
     def may_go_out(self, now: int, id: str, ordinal: int) -> bool:
-        """Asked as the bytes of a schedule attempt go out, up to a connect time after it was decided: engine, window and
-        time left are looked at again. Changes nothing."""
+        """Asked as the bytes of a schedule attempt go out, up to a connect time after it was decided: engine,
+        window and time left are looked at again. Changes nothing."""
         self.now, seq = now, self.seqs.get(id)
         out = seq.out if seq else None
-        return (out is not None and out.ordinal == ordinal and seq.state not in FINAL and now < seq.abandon_at
-                and out.engine.row.started_at == out.up_since and out.engine.listed and self._in_group(seq, out.engine))
+        if out is None or out.ordinal != ordinal or seq.state in FINAL or now >= seq.abandon_at:
+            return False
+        engine = out.engine
+        return engine.listed and engine.row.started_at == out.up_since and self._in_group(seq, engine)
 
     def started(self, now: int, id: str, ordinal: int) -> list[Change]:
         self.now, seq = now, self.seqs.get(id)
@@ -166,6 +169,7 @@
             attempt = seq.out
             attempt.started_at = now
             seq.held = seq.pinned = False
+            self._taken(attempt.engine)
             self._read_over(attempt)
             if self._far_slower(attempt):
                 self._failed(attempt, "far slower than its peers")
@@ -182,6 +186,7 @@
         attempt, engine = seq.out, seq.out.engine
         self._settle(attempt, outcome, kept, report)
         if outcome is Outcome.READ:
+            self._taken(engine)
             seq.held, seq.pinned, seq.reader = True, True, engine
         elif outcome is Outcome.NO_STATE:
             seq.held = False
@@ -442,8 +447,10 @@
     def _read_time(self, engine: Engine, seq: Sequence) -> float:
         """Own tokens at the pace of an idle engine, and a wait that grows with what is outstanding of them,
         in which the other nodes' work shows. What is known of one engine's wait soon tells nothing more: then
-        it is taken for as busy as its role usually is."""
-        pace, usual = self.read_pace.get(engine.role, FIRST_READ_PACE), self.read_wait.get(engine.role, 0.0)
+        it is taken for as busy as its role usually is, or for idle if it has started since that was seen."""
+        pace = self.read_pace.get(engine.role, FIRST_READ_PACE)
+        seen = self.noted.get(engine.role, 0) >= engine.row.started_at
+        usual = self.read_wait.get(engine.role, 0.0) if seen else 0.0
         known = math.exp((engine.read_at - self.now) / WAIT_FOR) if engine.read_at else 0.0
         wait, ahead = usual + known * (engine.read_wait - usual), READ_OVERHEAD + engine.reading
         return pace * (ahead + self._left(engine, seq)) + wait * ahead
@@ -513,19 +520,52 @@
         return 0 < engine.row.started_at and self.now - engine.row.started_at < self.settings.cold_time
 
     def _take_turns(self, seq: Sequence) -> None:
-        """A cold engine is dealt its part of a warm one's sequences, whatever others keep, and nothing else.
-        Each node counts up by its own sequences from a phase left to chance, so parts add up for any number
-        of nodes: it is sent over its multiple only when the fleet is sent several times what it can."""
+        """A cold engine is dealt its part of what a warm one takes, whatever others keep, and nothing else.
+        Each node counts up from a phase left to chance, so parts add up for any number of nodes. With no warm
+        one of its role it goes by what those took before, through the time since it last looked."""
         self.cold = [e for e in self.cold if e.listed and self._is_cold(e)]
-        least = self.settings.cold_share
         for e in self.cold:
-            safe = max(1.0, COLD_SAFE * self.settings.fall_multiple) * least  # even if not warmed up yet
-            part = min(safe, least + (self.now - e.row.started_at) / self.settings.cold_time)
-            e.turn += part * e.row.size / self.sizes[e.role is Role.READER]
+            if not self._warm_size(e.role):
+                passed, e.looked_at = self.now - max(e.looked_at, e.row.started_at, self.now - S), self.now
+                self._count_up(e, self._took_before(e, seq, passed / S))
             if e.turn >= 1:
                 e.turn -= 1
                 seq.turns.append(e)
 
+    def _taken(self, engine: Engine) -> None:
+        """A warm engine has read a prompt, or begun an answer: by that cold ones of its role are counted up.
+        What arrives, is refused, comes again or is repeated tells nothing of what an engine can take."""
+        if self._is_cold(engine):
+            return
+        reads = engine.role is Role.READER
+        each = 1 / max(engine.row.size, self._warm_size(engine.role))
+        rate, at = self.took.get(reads, (0.0, self.now))
+        self.took[reads] = rate * math.exp((at - self.now) / USUAL_FOR) + each * S / USUAL_FOR, self.now
+        for e in self.cold:
+            if (e.role is Role.READER) is reads:
+                self._count_up(e, each)
+
+    def _took_before(self, cold: Engine, seq: Sequence, seconds: float) -> float:
+        """Sequences that a warm engine of size 1 would have taken from this node in such a time. A node that
+        has never seen one goes by its first guess of a reader's pace, at other engines by what arrives."""
+        reads = cold.role is Role.READER
+        rate, at = self.took.get(reads, (0.0, 0))
+        if rate:
+            return seconds * rate * math.exp((at - max(at, cold.row.started_at)) / USUAL_FOR)
+        if reads:
+            return seconds * S / FIRST_READ_PACE / (READ_OVERHEAD + seq.prompt.tokens) / self.settings.nodes
+        return 1 / self.sizes[False]
+
+    def _warm_size(self, role: Role) -> float:
+        reads = role is Role.READER
+        return self.sizes[reads] - sum(e.row.size for e in self.cold if (e.role is Role.READER) is reads)
+
+    def _count_up(self, cold: Engine, taken: float) -> None:
+        least = self.settings.cold_share
+        safe = max(1.0, COLD_SAFE * self.settings.fall_multiple) * least  # even if not warmed up yet
+        part = min(safe, least + (self.now - cold.row.started_at) / self.settings.cold_time)
+        cold.turn = min(2.0, cold.turn + part * cold.row.size * taken)
+
     def _send(self, seq: Sequence, engine: Engine) -> None:
         left = seq.abandon_at - self.now
         fetches = seq.held and engine.role is not Role.READER
--- a/aniserudder/decisions/state.py
+++ b/aniserudder/decisions/state.py
@@ -28,6 +28,7 @@
     kept: dict[str, tuple[int, int]] = field(default_factory=dict)  # key: (tokens, noted at)
     out: dict[Attempt, None] = field(default_factory=dict)
     turn: float = 0.0            # while cold: grows to 1, then one sequence is sent
+    looked_at: int = 0           # while all of its role are cold: when it was last counted up
     report: Report | None = None
     sent_since: int = 0
     probed_at: int = 0
