A tokened sequence that may have run is not read again outside its group or window

Faulty: rules._may_send let a reader take any sequence whatever had run (`or engine.role is Role.READER`). A read has no effect, but WIRE 15.2 speaks of further sends: a writer may have run it, its state is gone, it was read again in another zone or behind the window. Ruled out by reading: the window is counted from the decision, before the bytes; writers and mixed engines keep to both.

Change: such a sequence is read again only inside group and window.

Measured: a test of three stories (another zone, too late, inside both) fails before, passes now.

--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -496,9 +496,10 @@
         return self._in_group(seq, engine)
 
     def _in_group(self, seq: Sequence, engine: Engine) -> bool:
-        """Whether a repeat there would be dropped, or harms nothing."""
+        """Whether a repeat there would be dropped, or harms nothing. A read has no effect, but is a send like any
+        other (WIRE 15.2): behind an attempt that may have run it keeps to group and window as well."""
         ran = seq.may_have_run
-        if ran is None or seq.row.effect is Effect.REPEATABLE or engine.role is Role.READER:
+        if ran is None or seq.row.effect is Effect.REPEATABLE:
             return True
         here, there = engine.row, ran.engine.row
         same = here.zone == there.zone and (seq.row.group == "zone" or here.rack == there.rack)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -43,6 +43,18 @@
     s.check("tokened")
 
 
+def test_a_tokened_sequence_is_not_read_again_outside_its_group_or_window():
+    """Seen on herd+mass of depot-hall: a writer may have run it, its state is gone, and it was read again in another zone or too late."""
+    outside = Story("rx w1 w2", writers_read=False, max_attempts=6).arrive("t", "mark").after(0.1).end("t", 0, Outcome.READ)
+    outside.after(0.1).end("t", 1, Outcome.CUT).after(0.1).end("t", 2, Outcome.NO_STATE)
+    late = Story("r1 r2 w1 w2", writers_read=False, max_attempts=6).arrive("t", "mark", time_left=20.0).after(0.1).end("t", 0, Outcome.READ)
+    late.after(0.1).end("t", 1, Outcome.CUT).after(5.5).end("t", 2, Outcome.NO_STATE)
+    inside = Story("r1 r2 w1 w2", writers_read=False, max_attempts=6).arrive("t", "mark").after(0.1).end("t", 0, Outcome.READ)
+    inside.after(0.1).end("t", 1, Outcome.CUT).after(0.1).end("t", 2, Outcome.NO_STATE)
+    reads = [sum(" reading " in line for line in s.lines) for s in (outside, late, inside)]
+    assert reads == [1, 1, 2]
+
+
 def test_nothing_stays_pinned():
     """Let go with a late read after the client left, after 'no state', and with the end of an awaited attempt."""
     s = Story().arrive("a").leave("a").after(0.1).end("a", 0, Outcome.READ)
