A listener takes as many as there is room for; refusing beyond the share is withdrawn

Seen: test_strangers_that_asked_once... failed once under load, then with test_hundreds_of_silent_connections on a quiet machine (2 of 179).

Change: the listener's turn is bounded by the room there is (numberAccepts before each read); nobody is closed for want of room.

Measured: the two tests, the one with a queue of 200 in one turn and the process full of idle clients: three times each, passed.

--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -257,10 +257,13 @@
 
     # Connections: room is made by closing those that say nothing, then those that have been idle for longest.
 
-    def comes(self, address: str) -> tuple[object, object] | None:
-        """A listener takes a whole queue in one turn, however few there is room for: the rest of it is closed. Discovery,
-        engines and those that ask whether the node is ready need descriptors too."""
-        return (None, None) if len(self.factory.connections) < self.descriptors.most_clients else None
+    def comes(self, address: str) -> tuple[object, object]:
+        return None, None
+
+    @property
+    def room(self) -> int:
+        """Connections that there is room for."""
+        return max(1, self.descriptors.most_clients - len(self.factory.connections))
 
     def opened(self, connection: ServerConnection) -> None:
         self._note()
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -71,11 +71,22 @@
         """
         host, port = self.conf.listen
         self._port = self.clients.port = self.reactor.listenTCP(port, self.clients.factory, interface=host, backlog=1024)
+        self._take_as_many_as_there_is_room_for(self._port)
         self.discovery.start(self.conf.known)
         self.reactor.callLater(READY_S, self._ready)
         self.reactor.callLater(LATE_EVERY_S, self._late, self.reactor.seconds() + LATE_EVERY_S)
         self.reactor.callLater(FIGURES_S, self._figures)
 
+    def _take_as_many_as_there_is_room_for(self, port: IListeningPort) -> None:
+        """A listener takes a hundred and more in one turn, however few there is room for; discovery, engines and readiness need
+        descriptors too. The others wait in the system's queue."""
+        inner = port.doRead
+
+        def read() -> None:
+            port.numberAccepts = self.clients.room
+            inner()
+        port.doRead = read
+
     @property
     def address(self) -> tuple[str, int]:
         """Where clients are taken."""
