A beginning has as many homes as its part of what arrives would fill

Ruled out: memory (pairs met again are kept), writers (a fetch starts after 0.04 s in the median), sessions. Faulty lines: rules.py _homes, near[:min(MOST_HOMES, ...)] for every beginning alike. Change: _homes gives a beginning as many homes as its part of what arrives at the node would fill readers of the zone, one at least, three at most as before; sets nest, so nodes that judge differently share the first.

--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -98,6 +98,8 @@
         self.scan = self.period_end = 0  # the half period that runs, and its end; past the last, trials
         self.trials = 0.0         # trials that may still be made
         self.homes: dict[str, list[Engine]] = {}  # by shared beginning, under the present roster
+        self.near_readers = 0     # listed in the own zone
+        self.met: dict[str, tuple[float, int]] = {}  # by shared beginning, "" for all: how often of late, and when
         self.read_pace: dict[Role, float] = {}  # microseconds a token where nothing waits
         self.read_wait: dict[Role, float] = {}  # usual wait for each own token ahead
         self.usual_wait = 0.0     # for a first token at a warm writer that fetches
@@ -135,6 +137,7 @@
         self.homes.clear()
         listed = [e for e in self.engines.values() if e.listed]
         self.cold = [e for e in listed if self._is_cold(e)]
+        self.near_readers = sum(e.role is Role.READER and e.row.zone == self.settings.zone for e in listed)
         for reads in (True, False):
             self.sizes[reads] = sum(e.row.size for e in listed if (e.role is Role.READER) is reads)
         return self._done()
@@ -388,14 +391,25 @@
 
     def _homes(self, shared: str) -> list[Engine]:
         """Of many nodes each knows next to nothing of what was sent: so all presume a shared beginning to be
-        kept by the same part of their zone's readers, by hash. More of them could not hold it all."""
+        kept by the same readers of their zone, by hash. Each home has to read it once, so one has as many as
+        its part of what arrives here would fill; where nodes judge that differently, their sets still nest."""
         if shared not in self.homes:
             near = sorted((e for e in self.engines.values() if e.listed and e.role is Role.READER
                            and e.row.zone == self.settings.zone), key=lambda e: rank(e, shared))
             while len(self.homes) >= KEPT_MOST:
                 del self.homes[next(iter(self.homes))]
             self.homes[shared] = near[:min(MOST_HOMES, math.ceil(HOME_PART * len(near)))]
-        return self.homes[shared] if shared else []
+        part = self._meet(shared) / max(1.0, self._meet(""))
+        return self.homes[shared][:max(1, math.ceil(part * self.near_readers))] if shared else []
+
+    def _meet(self, shared: str) -> float:
+        """How often this beginning came before, fading as fast as what is kept."""
+        count, at = self.met.pop(shared, (0.0, self.now))
+        count *= math.exp((at - self.now) / KEPT_FOR)
+        self.met[shared] = count + 1, self.now
+        while len(self.met) > KEPT_MOST:
+            del self.met[next(iter(self.met))]
+        return count
 
     def _known(self, engine: Engine, seq: Sequence) -> int:
         best = 0
--- a/aniserudder/logs.py
+++ b/aniserudder/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs: JSON lines on standard error with one schema, by structlog.
+"""Structured logs: JSON lines on standard error with one schema, by the standard library's handlers.
 
 Every line has ``at``, ``level``, ``event`` and ``node``; what speaks of a sequence or an engine has ``seq``, ``state``,
 ``engine``, ``ordinal`` and ``reason``.
@@ -8,21 +8,31 @@
 import logging
 import sys
 from collections.abc import Callable
+from datetime import datetime, timezone
 from typing import TextIO
 
-import structlog
+import msgspec
+
+
+class JsonLine(logging.Formatter):
+    """A record as one JSON object; its fields are in ``record.fields``."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        at = datetime.fromtimestamp(record.created, timezone.utc).isoformat(timespec="microseconds").replace("+00:00", "Z")
+        line = {"at": at, "level": record.levelname.lower(), "event": record.msg, "node": record.name, **record.fields}
+        return msgspec.json.encode(line, enc_hook=str).decode()
 
 
 def make(node: str, level: str = "info", out: TextIO | None = None) -> Callable[..., None]:
     """A ``log(event, level=..., **fields)`` for one node. Instances share no state."""
-    least = logging.getLevelName(level.upper())
-    logger = structlog.wrap_logger(
-        structlog.PrintLogger(out or sys.stderr),
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", key="at"),
-                    structlog.processors.JSONRenderer()],
-        wrapper_class=structlog.make_filtering_bound_logger(least),
-        cache_logger_on_first_use=True).bind(node=node)
+    levels = logging.getLevelNamesMapping()
+    least = levels[level.upper()]
+    handler = logging.StreamHandler(out or sys.stderr)
+    handler.setFormatter(JsonLine())
 
     def log(event: str, level: str = "info", **fields: object) -> None:
-        getattr(logger, level)(event, **fields)
+        number = levels[level.upper()]
+        if number >= least:
+            handler.handle(logging.makeLogRecord({"name": node, "levelno": number, "levelname": level, "msg": event,
+                                                  "fields": fields}))
     return log
--- a/aniserudder/streams/pace.py
+++ b/aniserudder/streams/pace.py
@@ -3,7 +3,6 @@
 
 import math
 from dataclasses import dataclass
-from statistics import median
 
 HALF = 2_000_000        # microseconds: what was seen of an engine's pace loses half its weight in this time
 FADE_EVERY = 100_000    # and is reckoned down no more often than this
@@ -89,6 +88,7 @@
         for engine, pace in self._engines.items():
             if engine != stream.engine and pace.gaps * math.exp2((pace.at - now) / HALF) >= LEAST_SEEN:
                 peers.append(pace.length / pace.gaps)
+        from statistics import median  # only where streams go on: a node on the platform starts without it
         return len(peers) >= PEERS and gap > self.rules.times * median(peers)
 
     def forget(self, engines: set[str]) -> None:
--- a/tests/story.py
+++ b/tests/story.py
@@ -50,10 +50,13 @@
         return self.show(f"roster {' '.join(names)}", self.node.roster(self.now, rows, complete))
 
     def arrive(self, id, kind="note", tokens=3000, session="", shared="", time_left=6.0, customer=""):
-        prompt = Prompt(kind, session or id, shared, tokens, tokens // 2 if shared else 0, 400, 0,
-                        round(time_left * S), customer)
+        prompt = self.prompt(kind, session or id, shared, tokens, time_left, customer)
         return self.show(f"arrived {id} {kind} {tokens}", self.node.arrived(self.now, id, prompt))
 
+    @staticmethod
+    def prompt(kind, session, shared, tokens, time_left, customer=""):
+        return Prompt(kind, session, shared, tokens, tokens // 2 if shared else 0, 400, 0, round(time_left * S), customer)
+
     def end(self, id, ordinal, outcome, kept=0, final=False, report=None):
         heard = Report(self.now, report) if report else None
         return self.show(f"ended {id} {ordinal} {outcome.value}",
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -19,6 +19,20 @@
     s.check("reader_spill")
 
 
+def test_a_beginning_has_as_many_homes_as_its_part_of_what_arrives_would_fill():
+    """Each home reads a beginning once: of a thousand beginnings three homes each are mostly that. Which ones is the same
+    at all nodes, and fewer homes are among the more."""
+    def homes(met, of, seed=7):
+        s = Story("r1 r2 r3 r4 r5 r6 r7 r8 r9 w1", seed=seed, nodes=200)
+        for i in range(of):
+            s.after(0.5).arrive(f"a{i}", shared="hot" if i < met else f"other{i}").serve(f"a{i}")
+        s.node.arrived(s.now, "last", s.prompt("note", "last", "hot", 4000, 6.0))
+        return [e.id for e in s.node.seqs["last"].homes]
+    seldom, often, most = homes(1, 20), homes(4, 20), homes(16, 20)
+    assert [len(h) for h in (seldom, often, most)] == [1, 2, 3]
+    assert most[:2] == often and often[:1] == seldom == homes(1, 20, seed=8)
+
+
 def test_forgotten_beginning():
     s = Story().arrive("a", session="s").serve("a").arrive("b", session="s").after(0.1)
     reader = next(e for e in s.node.engines.values() if e.kept)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -459,9 +459,23 @@
     assert node.communicate(timeout=10)[1] == "NODE_CONFIG is not set: it names the node's configuration\n" and node.returncode == 2
 
 
-def test_a_node_imports_nothing_it_has_no_room_for(tmp_path):
-    code = "import sys, aniserudder.platform.node; print([m for m in ('pydantic', 'numpy', 'matplotlib', 'yaml') if m in sys.modules])"
-    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True).stdout == "[]\n"
+# What a node's start loads: each module is file-system calls, memory and processor time, two hundred times at once.
+THIRD_PARTY = {"attr", "attrs", "constantly", "httptools", "incremental", "msgspec", "twisted", "typing_extensions", "xxhash", "zope"}
+OWN = {"admission", "boot", "core", "decisions", "logs", "platform", "streams", "wire"}
+MOST_MODULES = 400  # 384 with Twisted 26; 473 with a log library that loads a terminal's colours
+
+
+def test_a_node_imports_what_it_needs_and_nothing_else(tmp_path):
+    code = ("import sys, sysconfig; bare = set(sys.modules); import aniserudder.platform.node; from twisted.internet import reactor\n"
+            "print(len(sys.modules))\n"
+            "print(*{m.partition('.')[0] for m in set(sys.modules) - bare} - set(sys.stdlib_module_names))\n"
+            "print(*{m.split('.')[1] for m in sys.modules if m.startswith('aniserudder.')})\n"
+            "print([m for m in ('pydantic', 'numpy', 'matplotlib', 'yaml', 'rich', 'pygments', 'structlog', 'statistics') if m in sys.modules])")
+    run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    modules, others, own, heavy = run.stdout.splitlines()
+    others = {m for m in others.split() if "cython" not in m}  # what a compiled library brings has no file of its own
+    assert others <= THIRD_PARTY | {"aniserudder"} and set(own.split()) == OWN and heavy == "[]"
+    assert int(modules) <= MOST_MODULES
 
 
 def test_the_log_is_bounded():
