Long reads keep to readers of their own, which all nodes know by the list alone

Faulty lines: rules.py _reader, which ranks all readers alike for reads of any length. Change: a read over SPILL of the least SLO is long; three tenths of a zone's readers, first by hash, are for long reads; the usual wait is kept by lane. No lanes where a node has met 20 sequences of late and longs are under half that part, where a reader of the zone is cold, or with fewer than four.

--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -46,6 +46,8 @@
 WAIT_FOR = 3 * S                # what is known of an engine's wait fades in this time
 USUAL_FOR = 3 * S               # what is usual is a mean over such a time, however few sequences a node sees
 READ_OVERHEAD = 300             # a read's fixed cost, counted as so many tokens
+LONG_PART = 0.3                 # of a zone's readers: kept for long reads, which take over SPILL of the least SLO
+ENOUGH_MET = 20                 # sequences of late that tell a node whether there are long reads
 HOME_PART, MOST_HOMES = 0.4, 3  # of a zone's readers, at most so many: presumed to keep a shared beginning
 AWAY_TOKENS = 2500              # a beginning kept in another zone counts as so much shorter
 OTHER_RACK, OTHER_ZONE = 10.0, 20.0  # a writer's load counts as this many times when the state has to travel
@@ -97,11 +99,14 @@
         self.local_part = LOCAL_SOON if readers else ADMIT  # without readers every read is local
         self.scan = self.period_end = 0  # the half period that runs, and its end; past the last, trials
         self.trials = 0.0         # trials that may still be made
-        self.homes: dict[str, list[Engine]] = {}  # by shared beginning, under the present roster
-        self.near_readers = 0     # listed in the own zone
+        self.homes: dict[tuple[str, bool], list[Engine]] = {}  # by shared beginning and lane, under these lanes
+        self.readers: dict[str, list[Engine]] = {}  # listed, by zone, in an order that all nodes know
+        self.long_read = SPILL * min((t.latency_slo for t in settings.types), default=S)
+        self.work = {True: 0.0, False: 0.0}  # tokens of late: of long reads, and of others
+        self.work_at, self.lanes = 0, True
         self.met: dict[str, tuple[float, int]] = {}  # by shared beginning, "" for all: how often of late, and when
         self.read_pace: dict[Role, float] = {}  # microseconds a token where nothing waits
-        self.read_wait: dict[Role, float] = {}  # usual wait for each own token ahead
+        self.read_wait: dict[object, float] = {}  # by role and lane: usual wait for each own token ahead
         self.usual_wait = 0.0     # for a first token at a warm writer that fetches
         self.noted: dict[object, int] = {}  # when what is usual was last noted
         self.again = MOST_AGAIN   # schedule attempts that may still replace lost ones
@@ -134,10 +139,9 @@
                 engine.gone_at = now
             elif now - engine.gone_at > KEPT_FOR:  # all known of it has aged away: the table is bounded
                 del self.engines[engine.id]
-        self.homes.clear()
         listed = [e for e in self.engines.values() if e.listed]
         self.cold = [e for e in listed if self._is_cold(e)]
-        self.near_readers = sum(e.role is Role.READER and e.row.zone == self.settings.zone for e in listed)
+        self._part_lanes()
         for reads in (True, False):
             self.sizes[reads] = sum(e.row.size for e in listed if (e.role is Role.READER) is reads)
         return self._done()
@@ -150,7 +154,9 @@
         slo = row.slo + row.slo_per_1000 * prompt.tokens // 1000
         seq = Sequence(id, prompt, row, now, now + slo, now + prompt.time_left, output)
         self.again = min(MOST_AGAIN, self.again + AGAIN)
-        seq.over_share, seq.homes = self._over_share(prompt.customer), self._homes(prompt.shared)
+        seq.over_share = self._over_share(prompt.customer)
+        self._take_lane(seq)
+        seq.homes = self._homes(prompt.shared, seq.long)
         self.seqs[id] = seq
         self._take_turns(seq)
         self._route(seq)
@@ -389,18 +395,43 @@
         prompt = seq.prompt
         return (prompt.session, prompt.tokens), (prompt.shared, prompt.shared_tokens)
 
-    def _homes(self, shared: str) -> list[Engine]:
+    def _take_lane(self, seq: Sequence) -> None:
+        left = seq.prompt.tokens - seq.prompt.shared_tokens
+        seq.long = left * self.read_pace.get(Role.READER, FIRST_READ_PACE) > self.long_read
+        fading, self.work_at = math.exp((self.work_at - self.now) / KEPT_FOR), self.now
+        self.work = {long: fading * tokens + left * (long is seq.long) for long, tokens in self.work.items()}
+        few = self.met.get("", (0.0, 0))[0] < ENOUGH_MET
+        lanes = few or self.work[True] > LONG_PART / 2 * sum(self.work.values())
+        if lanes is not self.lanes:
+            self.lanes = lanes
+            self._part_lanes()
+
+    def _part_lanes(self) -> None:
+        """A read that alone makes who waits behind it late is long. Of many nodes none sees which reader is at one,
+        and each meets too few to tell what part they are: so they keep to readers that all know by the list alone.
+        Not where a node has met enough to tell that there are hardly any, nor in a zone with cold readers."""
+        self.readers = {}
+        for e in sorted((e for e in self.engines.values() if e.listed and e.role is Role.READER),
+                        key=lambda e: rank(e, "")):
+            self.readers.setdefault(e.row.zone, []).append(e)
+        for near in self.readers.values():
+            longs = LONG_PART * len(near) if self.lanes and not any(e in self.cold for e in near) else 0
+            for i, e in enumerate(near):
+                e.long = i < round(longs) and longs >= 1
+        self.homes.clear()
+
+    def _homes(self, shared: str, long: bool) -> list[Engine]:
         """Of many nodes each knows next to nothing of what was sent: so all presume a shared beginning to be
         kept by the same readers of their zone, by hash. Each home has to read it once, so one has as many as
         its part of what arrives here would fill; where nodes judge that differently, their sets still nest."""
-        if shared not in self.homes:
-            near = sorted((e for e in self.engines.values() if e.listed and e.role is Role.READER
-                           and e.row.zone == self.settings.zone), key=lambda e: rank(e, shared))
+        near = self.readers.get(self.settings.zone, [])
+        if (shared, long) not in self.homes:
+            lane = sorted((e for e in near if e.long is long), key=lambda e: rank(e, shared))
             while len(self.homes) >= KEPT_MOST:
                 del self.homes[next(iter(self.homes))]
-            self.homes[shared] = near[:min(MOST_HOMES, math.ceil(HOME_PART * len(near)))]
+            self.homes[shared, long] = lane[:min(MOST_HOMES, math.ceil(HOME_PART * len(near)))]
         part = self._meet(shared) / max(1.0, self._meet(""))
-        return self.homes[shared][:max(1, math.ceil(part * self.near_readers))] if shared else []
+        return self.homes[shared, long][:max(1, math.ceil(part * len(near)))] if shared else []
 
     def _meet(self, shared: str) -> float:
         """How often this beginning came before, fading as fast as what is kept."""
@@ -444,8 +475,9 @@
         of a session comes by way of any node: so all nodes hash it to the same home."""
         readers, session = self._usable(seq, Role.READER), seq.prompt.session
         away = {e: e.row.zone != self.settings.zone for e in readers}
-        readers.sort(key=lambda e: (AWAY_TOKENS * away[e] - self._kept(e, seq), away[e], e not in seq.homes,
-                                    rank(e, session)))
+        lane = self.long_read / self.read_pace.get(Role.READER, FIRST_READ_PACE)
+        readers.sort(key=lambda e: (lane * (e.long is not seq.long) + AWAY_TOKENS * away[e] - self._kept(e, seq),
+                                    away[e], e not in seq.homes, rank(e, session)))
         best = next((e for e in readers if self._soon(e, seq, SPILL)),
                     min(readers, key=lambda e: self._read_time(e, seq), default=None))
         return best if best and self._soon(best, seq, LESS_ROOM if seq.over_share else 1.0) else None
@@ -463,8 +495,9 @@
         in which the other nodes' work shows. What is known of one engine's wait soon tells nothing more: then
         it is taken for as busy as its role usually is, or for idle if it has started since that was seen."""
         pace = self.read_pace.get(engine.role, FIRST_READ_PACE)
-        seen = self.noted.get(engine.role, 0) >= engine.row.started_at
-        usual = self.read_wait.get(engine.role, 0.0) if seen else 0.0
+        peers = engine.role, engine.long
+        peers = peers if peers in self.read_wait else (engine.role, not engine.long)
+        usual = self.read_wait.get(peers, 0.0) if self.noted.get(peers, 0) >= engine.row.started_at else 0.0
         known = math.exp((engine.read_at - self.now) / WAIT_FOR) if engine.read_at else 0.0
         wait, ahead = usual + known * (engine.read_wait - usual), READ_OVERHEAD + engine.reading
         return pace * (ahead + self._left(engine, seq)) + wait * ahead
@@ -538,7 +571,10 @@
         """A cold engine is dealt its part of what a warm one takes, whatever others keep, and nothing else.
         Each node counts up from a phase left to chance, so parts add up for any number of nodes. With no warm
         one of its role it goes by what those took before, through the time since it last looked."""
-        self.cold = [e for e in self.cold if e.listed and self._is_cold(e)]
+        cold = [e for e in self.cold if e.listed and self._is_cold(e)]
+        if len(cold) < len(self.cold):
+            self.cold = cold
+            self._part_lanes()
         for e in self.cold:
             if not self._warm_size(e.role):
                 passed, e.looked_at = self.now - max(e.looked_at, e.row.started_at, self.now - S), self.now
@@ -683,16 +719,16 @@
         engine = attempt.engine
         engine.reading -= attempt.reads
         if learn and attempt.reads:
-            role, took = engine.role, self.now - attempt.sent_at
+            role, peers, took = engine.role, (engine.role, engine.long), self.now - attempt.sent_at
             pace, seen = self.read_pace.get(role, FIRST_READ_PACE), took / max(1, attempt.queue)
             self.read_pace[role] = pace + (PACE_DOWN if seen < pace else PACE_UP) * (seen - pace)
             wait = max(0.0, took - pace * attempt.queue) / (READ_OVERHEAD + attempt.queue - attempt.reads)
             engine.read_wait += READ_STEP * (wait - engine.read_wait) if engine.read_at else wait
             engine.read_at = self.now
             # A time-out after others of the role have read is the engine's own, or its answer was lost.
-            if not late or self.noted.get(role, 0) < attempt.sent_at:
-                usual = self.read_wait.get(role, 0.0)
-                self.read_wait[role] = usual + self._weight(role) * (wait - usual)
+            if not late or self.noted.get(peers, 0) < attempt.sent_at:
+                usual = self.read_wait.get(peers, 0.0)
+                self.read_wait[peers] = usual + self._weight(peers) * (wait - usual)
 
     def _far_slower(self, attempt: Attempt) -> bool:
         """A start at a warm writer that took far longer than is usual: the engine or its link is slow. What
--- a/aniserudder/decisions/state.py
+++ b/aniserudder/decisions/state.py
@@ -13,6 +13,7 @@
     row: RosterRow
     role: Role
     listed: bool = True
+    long: bool = False           # a reader of the lane of long reads
     gone_at: int = 0             # since when it is unlisted with nothing out there; 0: it is not
     standing: Standing = Standing.TRUSTED
     failures: int = 0            # in a row
@@ -69,6 +70,7 @@
     cluster: Cluster | None = None
     local: bool = False
     over_share: bool = False
+    long: bool = False           # of the lane of long reads
     homes: list[Engine] = field(default_factory=list)  # presumed to keep its shared beginning
     tried: list[Engine] = field(default_factory=list)
     turns: list[Engine] = field(default_factory=list)  # cold engines that are due this sequence
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -33,6 +33,39 @@
     assert most[:2] == often and often[:1] == seldom == homes(1, 20, seed=8)
 
 
+NINE = "r1 r2 r3 r4 r5 r6 r7 r8 r9 w1"
+
+
+def read_where(tokens, before=(), engines=NINE, seed=7, **row):
+    """Which of a zone's readers get reads of that length, of many sessions."""
+    found = set()
+    for i in range(30):
+        s = Story(engines, seed=seed, nodes=200, writers_read=False)
+        if row:
+            s.roster("r9", started=s.now, **row)
+        for j, length in enumerate(before):
+            s.after(0.1).arrive(f"b{j}", tokens=length).serve(f"b{j}")
+        s.arrive("a", session=f"s{i}", tokens=tokens)
+        found |= {line.split()[3] for line in s.lines if "-> a reading" in line}
+    return found
+
+
+def test_long_reads_keep_to_readers_of_their_own():
+    """Seen on the new engines' calm day: of 624 late reads 590 had one of over 8,000 tokens before them, at readers a fifth
+    busy. No node sees which reader is at one; so all send them to the same three of nine, and nothing else there."""
+    longs, shorts = read_where(12000), read_where(2000)
+    assert len(longs) == 3 and len(shorts) == 6 and not longs & shorts
+    assert longs == read_where(12000, seed=8)
+
+
+def test_without_long_reads_or_with_cold_readers_all_read_everything():
+    """Three readers of nine kept free for reads that hardly come would be missed."""
+    assert len(read_where(2000, before=[1000] * 25)) == 9
+    assert len(read_where(2000, before=[1000] * 20 + [30000] * 5)) == 6
+    assert read_where(2000, availability=Availability.RUNNING) - {"r9"} == {f"r{i}" for i in range(1, 9)}
+    assert len(read_where(2000, engines="r1 r2 r3 w1")) == 3
+
+
 def test_forgotten_beginning():
     s = Story().arrive("a", session="s").serve("a").arrive("b", session="s").after(0.1)
     reader = next(e for e in s.node.engines.values() if e.kept)
@@ -174,7 +207,7 @@
     """Seen on fleet days: reads of 20,000 tokens jammed readers that others' sequences then waited for in vain."""
     for wait, taken in ((0.0, [True, True]), (2000.0, [False, True])):  # microseconds for each token ahead
         s = Story("r1 w1", writers_read=False)
-        s.node.read_pace[Role.READER], s.node.read_wait[Role.READER] = 50.0, wait
+        s.node.read_pace[Role.READER], s.node.read_wait[Role.READER, False] = 50.0, wait
         assert ["reading" in s.arrive(f"a{n}", tokens=n).lines[-1] for n in (10000, 1000)] == taken
 
 
