Mixed engines help readers out by each node's part of their time, not all at once

Seen: E join+mass (, reads of all nodes logged): from 10 to 20 s 329 reads went to mixed engines, each node's first or second, with a believed wait of 0; 25 came within the SLO (a start took 4.0 and 6.6 s in the median) and of 101 states fetched there 38 did. On E calm mixed local reads start after 1.1 s, a fifth late. Ruled out: what one node could learn (a node sends one or two in that time, and a time-out tells it too late); writers (0.04 s throughout). Faulty line: rules.py _route, 'if spare: return self._send(seq, spare)': every node judges mixed engines by its own sends. Change: _helps. Half of mixed engines' time is shared out over the nodes of the settings; a node's part is drawn by lot, so the parts add up for any number of nodes. Without listed readers nothing is bounded.

--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -39,6 +39,7 @@
 # Picking engines.
 SPILL = 0.5                     # part of the latency SLO that a read may take before the next reader is tried
 LOCAL_SOON = 0.2                # the same for a local read
+MIXED_READS = 0.5               # part of mixed engines' time for reads while there are readers, over all nodes
 AT_EASE = 0.4                   # part of the expected stream time below which a mixed engine may read longer
 FIRST_READ_PACE = 80            # microseconds for a token, until seen
 PACE_DOWN, PACE_UP = 0.2, 0.01  # weight of a quicker and of a slower read in a role's pace
@@ -110,6 +111,8 @@
         self.usual_wait = 0.0     # for a first token at a warm writer that fetches
         self.noted: dict[object, int] = {}  # when what is usual was last noted
         self.again = MOST_AGAIN   # schedule attempts that may still replace lost ones
+        self.mixed = self.helped_at = 0  # mixed engines listed; when one was last wanted to help readers out
+        self.help = math.inf      # microseconds of their time that this node may still take
         self.cold: list[Engine] = []
         self.took: dict[bool, tuple[float, int]] = {}  # by warm readers, and others: per second and size
         self.sizes = {True: 0.0, False: 0.0}  # of all listed readers, and of all others
@@ -142,6 +145,7 @@
         listed = [e for e in self.engines.values() if e.listed]
         self.cold = [e for e in listed if self._is_cold(e)]
         self._part_lanes()
+        self.mixed = sum(e.role is Role.MIXED for e in listed)
         for reads in (True, False):
             self.sizes[reads] = sum(e.row.size for e in listed if (e.role is Role.READER) is reads)
         return self._done()
@@ -309,8 +313,9 @@
                 return self._send(seq, writer)
             # Where readers are few, mixed engines carry their part: they read what readers can't in time.
             spare = None if reader and self._soon(reader, seq, SPILL) else self._mixed(seq)
-            if spare:
+            if spare and self._helps(seq):
                 return self._send(seq, spare)
+            writer = None if spare and writer and writer.role is Role.MIXED else writer
             if reader and not last and self._writer(seq):
                 return self._send(seq, reader)
             if writer:  # no reader in time: a writer with room reads even a long remainder before a refusal
@@ -534,6 +539,16 @@
             self.local_part, SPILL if e.stream_pace < AT_EASE else 0) / max(1, e.stream_pace) ** 3)]
         return max(free, key=lambda e: (self._kept(e, seq), -self._load(e)), default=None)
 
+    def _helps(self, seq: Sequence) -> bool:
+        """Whether mixed engines are there for this read: each node takes its part of what they could read beside their
+        answers, by chance. Else all turn to them in the same second, each for the first time, and jam them."""
+        part, since = MIXED_READS * self.mixed / self.settings.nodes, self.now - self.helped_at
+        self.help, self.helped_at = min(part * USUAL_FOR, self.help + part * since), self.now
+        own = self.read_pace.get(Role.MIXED, FIRST_READ_PACE) * (READ_OVERHEAD + seq.prompt.tokens)
+        helps = not self.readers or self.chance() * own < self.help
+        self.help = max(0.0, self.help - own)  # a draw costs what it could win, won or lost
+        return helps
+
     # Rules' guards: each in one place.
 
     def _may_send(self, seq: Sequence, engine: Engine) -> bool:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -238,6 +238,20 @@
     s.check("mixed_help")
 
 
+def test_many_nodes_do_not_jam_mixed_engines_in_the_same_second():
+    """Seen on the new engines' join day: 329 reads went to 19 mixed engines in ten seconds, most nodes' first, and 25 of them
+    were in time. Each node may take its part of half of their time: two engines read some three such prompts a second."""
+    sent = 0
+    for seed in range(200):
+        s = Story("r1 m1 m2", nodes=200, seed=seed)
+        for second in range(10):
+            s.after(1)
+            for i in range(3):
+                s.arrive(f"a{second}-{i}", tokens=3600)
+        sent += sum(" writing m" in line for line in s.lines)
+    assert 25 <= sent <= 60
+
+
 def test_load_reports():
     """The writer with most room by its report, less own sends since; asked for once a second."""
     s = Story("r1 w1 w2", may_probe=True, report_fields=("inflight",)).arrive("a", tokens=2000).after(0.1)
