--- a/tests/test_platform_races.py
+++ b/tests/test_platform_races.py
@@ -7,6 +7,7 @@
 import sys
 
 import pytest
+from twisted.internet import reactor
 from twisted.internet.threads import deferToThread
 
 from aniserudder.platform import config, discovery
@@ -658,6 +659,8 @@
         site.discovery.answer = silent  # it takes calls and says nothing any more
         for connection in site.discovery.connections:
             connection.transport.abortConnection()
+        node.send_signal(signal.SIGSTOP)  # so that all that there is room for come in one turn
+        reactor.callLater(0.5, node.send_signal, signal.SIGCONT)
         for i in range(150):
             await site.client(ask(f"i{i}", left="60.0"), at)
         await until(lambda: sum(c.data.endswith(b"0\r\n\r\n") for c in site.clients) >= 80, 8)
