Deadlines, windows and waits run on the monotonic clock; starts survive clock steps

Cause: ReactorBase.seconds is time.time (twisted.python.runtime), which callLater, DelayedCall and the poll's time-out read; the router's clock and with it every deadline, window and grace moved with a step of the wall clock. Change: aniserudder/eventloop.py gives every entry point the reactor on the monotonic clock, begun at the wall clock's time of the start. Engines' starts, which lists tell on the wall clock, are resolved by core/start_times.py: each offset seen counts, the latest possible start holds, so an engine that started just now is cold however clocks stepped. A node logs 'wall clock stepped'.

--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -797,7 +797,7 @@
     import signal
     import time
 
-    from twisted.internet import reactor
+    from ..eventloop import reactor
     from twisted.internet.error import CannotListenError
 
     from .. import logs
--- a/aniserudder/daemon/serve.py
+++ b/aniserudder/daemon/serve.py
@@ -3,7 +3,7 @@
 
 import signal
 
-from twisted.internet import reactor
+from ..eventloop import reactor
 from twisted.internet.error import CannotListenError
 
 from ..durable import Ground, Kind
--- a/aniserudder/measure/admission.py
+++ b/aniserudder/measure/admission.py
@@ -103,7 +103,7 @@
         return due
 
     def twisted() -> int:
-        from twisted.internet import reactor
+        from ..eventloop import reactor
         calls = [reactor.callLater(at, int) for at in times]
         for n, call in enumerate(calls):
             if not keep[n]:
--- a/aniserudder/measure/load.py
+++ b/aniserudder/measure/load.py
@@ -74,7 +74,7 @@
     """Arrivals drawn ahead, asked when due whatever became of those before."""
 
     def __init__(self, order: Order) -> None:
-        from twisted.internet import reactor
+        from ..eventloop import reactor
         self.reactor, self.order = reactor, order
         chance, at, self.due = Random(order.seed), 0.0, []
         while (at := at + chance.expovariate(order.rate)) < order.seconds:
--- a/aniserudder/platform/discovery.py
+++ b/aniserudder/platform/discovery.py
@@ -4,6 +4,7 @@
 """
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -14,6 +15,7 @@
 from twisted.internet.protocol import Factory
 
 from ..core.router import Router
+from ..core.start_times import StartTimes
 from ..decisions.interface import Availability, RosterRow
 from ..wire.client import ClientConnection
 from ..wire.connections import Connections
@@ -97,13 +99,15 @@
         address: of the agent.
         grace: seconds in which a drain has to be heeded; 0: settings do not say.
         on_first: called once, when discovery has answered for the first time.
+        wall: seconds since 1970, the clock on which lists tell engines' starts.
     """
 
     def __init__(self, router: Router, connections: Connections, address: tuple[str, int], grace: float, reactor: IReactorTCP,
-                 log: Callable[..., None], on_first: Callable[[], None]) -> None:
+                 log: Callable[..., None], on_first: Callable[[], None], wall: Callable[[], float] = time.time) -> None:
         self.router, self.connections, self.address, self.reactor, self.log = router, connections, address, reactor, log
         self.on_first: Callable[[], None] | None = on_first
         self.again = min(ANSWER_S, grace or ANSWER_S) / TRIES_IN_GRACE
+        self.start_times = StartTimes(reactor.seconds, wall)
         self.revision = -1
         self.listed: dict[str, str] = {}  # engine: address
         self.away = False
@@ -142,13 +146,14 @@
                 self.connections.locate(m.id, m.address)
             row = m.row
             if m.since:
-                row = RosterRow(row.engine, row.kind, row.zone, row.availability, m.since * 1000, row.size, row.rack)
+                row = RosterRow(row.engine, row.kind, row.zone, row.availability, self.start_times.resolve(m.id, m.since * 1000), row.size, row.rack)
             rows.append(row)
         self.revision = news.revision
         self.router.roster(rows, news.complete)
         for id in gone:
             self.listed.pop(id, None)
             self.connections.forget(id)
+            self.start_times.forget(id)
 
     # Locating the agent, and one watch after another.
 
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -144,6 +144,8 @@
 
     def _late(self, due: float) -> None:
         late = self.reactor.seconds() - due
+        if self.discovery.start_times.sample():
+            self.log("wall clock stepped", level="warning", reason=f"{self.discovery.start_times.steps} offsets seen so far")
         self.latest = max(self.latest, late)
         self.reactor.callLater(LATE_EVERY_S, self._late, self.reactor.seconds() + LATE_EVERY_S)
 
@@ -195,7 +197,7 @@
 
     ``signals``: heeded since the program's start, if its caller did so.
     """
-    from twisted.internet import reactor
+    from ..eventloop import reactor
     signals = signals or Signals().heed()
     try:
         path = config.path_of()
--- a/aniserudder/rehearsal/stage.py
+++ b/aniserudder/rehearsal/stage.py
@@ -620,7 +620,7 @@
         keep: folder that keeps settings, logs and decision records; empty: a folder that goes with the run.
         after: called with the folder before it goes.
     """
-    from twisted.internet import reactor
+    from ..eventloop import reactor
     ran: list[Ran] = []
     with tempfile.TemporaryDirectory(prefix="rehearsal-") as fresh:
         folder = Path(keep or fresh)
--- a/aniserudder/standins/alone.py
+++ b/aniserudder/standins/alone.py
@@ -7,7 +7,7 @@
 
 import yaml
 from pydantic import TypeAdapter, ValidationError
-from twisted.internet import reactor
+from ..eventloop import reactor
 from twisted.internet.error import CannotListenError
 
 from ..settings import BadSettings
--- a/aniserudder/standins/beside.py
+++ b/aniserudder/standins/beside.py
@@ -3,7 +3,7 @@
 
 from random import Random
 
-from twisted.internet import reactor
+from ..eventloop import reactor
 from twisted.internet.error import CannotListenError
 
 from ..settings import BadSettings, NodeSettings
--- a/aniserudder/standins/engine.py
+++ b/aniserudder/standins/engine.py
@@ -147,7 +147,8 @@
         self.faults = Faults()
         self.down = False
         self.paused_until = 0.0
-        self.started_at = 0.0          # wall clock; 0: long past
+        self.started_at = 0.0          # wall clock, as lists tell it; 0: long past
+        self._up_since = 0.0           # the same on the reactor's clock, which ages go by
         self.blocks = 0
         self.fell = False
         self.usage: dict[tuple[str, str], dict[str, Any]] = {}  # what each attempt ran; outlives the process, as a log would
@@ -186,7 +187,7 @@
     def start(self) -> None:
         """The process starts, empty and cold."""
         self.down, self.fell, self.faults = False, False, Faults()
-        self.started_at = self.wall()
+        self.started_at, self._up_since = self.wall(), self.reactor.seconds()
         self.witness.note("engine_up", engine=self.spec.name, rate=self.spec.rate, cold_share=self.spec.cold_share,
                           cold_us=round(self.spec.cold_ms * 1000), fall_multiple=self.spec.fall_multiple,
                           fall_us=round(self.spec.fall_ms * 1000))
@@ -218,7 +219,7 @@
         """The part of its capacity that it has at the moment."""
         if not self.started_at:
             return 1.0
-        age = (self.wall() - self.started_at) * 1000 / self.spec.cold_ms
+        age = (self.reactor.seconds() - self._up_since) * 1000 / self.spec.cold_ms
         return min(1.0, self.spec.cold_share + (1 - self.spec.cold_share) * age)
 
     def _speed(self) -> float:
@@ -247,7 +248,7 @@
         if exchange.path.startswith("/v1/status"):
             return exchange.reply(200, _encode({"inflight": len(self.running) + len(self.waiting) + len(self.held),
                                                 "x0": self._memory_used() / self.spec.memory,
-                                                "up_s": round(self.wall() - self.started_at, 3) if self.started_at else LONG_UP_S}))
+                                                "up_s": round(self.reactor.seconds() - self._up_since, 3) if self.started_at else LONG_UP_S}))
         self._tell_usage(exchange)
 
     def _generate(self, exchange: Exchange) -> None:
--- a/tests/platform_stand.py
+++ b/tests/platform_stand.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import reactor
+from aniserudder.eventloop import reactor
 from twisted.internet.defer import maybeDeferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -5,9 +5,10 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from twisted.internet import defer, reactor, task, threads
+from twisted.internet import defer, task, threads
 
 from aniserudder.core import Request, Router, Usage
+from aniserudder.eventloop import reactor
 from aniserudder.decisions.interface import (Availability, Effect, Outcome, Prompt, Role, RosterRow, Settings,
                                              TypeSettings)
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,7 +6,7 @@
 
 import pytest
 from hypothesis import given, settings as examples, strategies as st
-from twisted.internet import reactor
+from aniserudder.eventloop import reactor
 
 from aniserudder.ledger import claims
 from aniserudder.ledger.claims import CATCH_UP, GO_FOR, KEEP, SETTLE, Answer, Claim, Claiming, Place, Proof, Row, Said, Settling, Stage, decide, fold, proof
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -13,7 +13,9 @@
 
 import pytest
 from hypothesis import given, settings as examples, strategies as st
-from twisted.internet import reactor, threads
+from twisted.internet import threads
+
+from aniserudder.eventloop import reactor
 
 from aniserudder.durable import Full, Kind, Lane, Late, State, Writer
 from aniserudder.durable.order import POLICIES, Queue, Write
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -11,7 +11,9 @@
 from click.testing import CliRunner
 from hypothesis import settings as examples, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
-from twisted.internet import reactor, threads
+from twisted.internet import threads
+
+from aniserudder.eventloop import reactor
 
 from aniserudder.cli import main
 from aniserudder.ledger.books import bounded
--- a/tests/test_platform_races.py
+++ b/tests/test_platform_races.py
@@ -7,7 +7,7 @@
 import sys
 
 import pytest
-from twisted.internet import reactor
+from aniserudder.eventloop import reactor
 from twisted.internet.threads import deferToThread
 
 from aniserudder.platform import config, discovery
@@ -38,7 +38,7 @@
 
 
 def now():
-    from twisted.internet import reactor
+    from aniserudder.eventloop import reactor
     return reactor.seconds()
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -12,7 +12,7 @@
 import msgspec
 import pytest
 from hypothesis import given, settings as examples, strategies as st
-from twisted.internet import reactor
+from aniserudder.eventloop import reactor
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.task import Clock
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -7,7 +7,9 @@
 import pytest
 from click.testing import CliRunner
 from hypothesis import given, settings as examples, strategies as st
-from twisted.internet import reactor, threads
+from twisted.internet import threads
+
+from aniserudder.eventloop import reactor
 from twisted.internet.task import Clock as Time
 
 from aniserudder.cli import main
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -3,7 +3,7 @@
 
 import msgspec
 import pytest
-from twisted.internet import reactor
+from aniserudder.eventloop import reactor
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 
--- a/tests/test_stream_sockets.py
+++ b/tests/test_stream_sockets.py
@@ -2,7 +2,9 @@
 import msgspec
 import pytest
 from hypothesis import given, settings as examples, strategies as st
-from twisted.internet import reactor, task
+from twisted.internet import task
+
+from aniserudder.eventloop import reactor
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory, Protocol
 
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -14,7 +14,7 @@
 
 def slow_stream(connection, request):
     """Five events 0.3 s apart: the stream outlasts any step of the clock that falls into it."""
-    from twisted.internet import reactor
+    from aniserudder.eventloop import reactor
     connection.say(HEAD)
     for number in range(5):
         reactor.callLater(0.3 * number, connection.say, chunked(EVENT % b"%d" % number))
