--- /dev/null
+++ b/tests/test_fault_hunt.py
@@ -0,0 +1,54 @@
+"""Faults found by reading paths for crossings of events: each crossing is made to happen, on real connections."""
+from aniserudder.eventloop import reactor
+from platform_stand import WHOLE, Site, ask
+from stand import on_loop, sleep, until
+
+
+def after(seconds, data):
+    """An engine that answers each request so long after it came."""
+    return lambda connection, request: reactor.callLater(seconds, connection.say, data)
+
+
+def told_timeout(request):
+    """The deadline that a request states to its engine, in seconds."""
+    return float(request.lower().partition(b"request-timeout: ")[2].split(b"\r\n")[0])
+
+
+def test_a_request_that_waited_behind_another_tells_what_its_client_has_left():
+    async def scene():
+        site = await Site({"m1": after(0.8, WHOLE)}).up()
+        await site.client(ask("a1", left="2.0") + ask("a2", left="1.2"))
+        requests = site.engines["m1"].requests
+        await until(lambda: len(requests) == 2)
+        await site.close()
+        return [told_timeout(r) for r in requests]
+    first, second = on_loop(scene)
+    assert 1.8 < first <= 2.0 and second <= 1.2 - 0.8 + 0.15
+
+
+def test_an_answer_owed_comes_before_the_error_that_follows_it():
+    async def scene():
+        site = await Site({"m1": after(0.4, WHOLE)}).up()
+        client = await site.client(ask("a1"))
+        await until(lambda: site.engines["m1"].requests)
+        client.say(b"\x16\x03 no request\r\n\r\n")
+        await until(lambda: client.over)
+        await site.close()
+        return client.data
+    data = on_loop(scene)
+    assert b"[DONE]" in data and b"\r\n0\r\n\r\n" in data and data.count(b"HTTP/1.1") == 2 and b" 400 " in data
+
+
+def test_who_waits_to_be_accepted_as_the_listener_closes_is_answered():
+    """The connection is complete for the system and its request is written, while the listener's turn has not come."""
+    async def scene():
+        site = await Site({"m1": after(0.0, WHOLE)}).up()
+        port = site.node.clients.port
+        port.stopReading()
+        clients = [await site.client(ask(f"a{n}")) for n in range(5)]
+        site.node.stop()
+        await until(lambda: all(c.over for c in clients))
+        await sleep(0.1)
+        await site.close()
+        return [c.data[:12] for c in clients]
+    assert on_loop(scene) == [b"HTTP/1.1 503"] * 5
