--- a/tests/test_fault_hunt.py
+++ b/tests/test_fault_hunt.py
@@ -1,7 +1,8 @@
 """Faults found by reading paths for crossings of events: each crossing is made to happen, on real connections."""
 from aniserudder.eventloop import reactor
-from platform_stand import WHOLE, Site, ask
+from platform_stand import READ, WHOLE, Site, ask
 from stand import on_loop, sleep, until
+from test_platform_races import ALLOWED_S, LET_GO, LONG
 
 # A type that is sent once only, so that its engine is told all that its client has left, and whose SLO does not get in the way.
 PATIENT = [{"name": "draft", "goal-time": 20.0, "deadline": 30.0, "semantics": "side_effect", "stream": True, "points": 1.0}]
@@ -55,3 +56,24 @@
         await site.close()
         return [c.data[:12] for c in clients]
     assert on_loop(scene) == [b"HTTP/1.1 503"] * 5
+
+
+def test_a_send_into_a_silent_connection_does_not_stop_the_clock_of_what_is_held():
+    """The writer's kept connection falls silent, with no error; a read leaves its state, and the next request goes to that writer. Its
+    bytes are taken by the system and arrive nowhere, so what is held has to be let go in the time that settings allow."""
+    async def scene():
+        site = await Site({"r1": lambda c, r: read_at.append(reactor.seconds()) or c.say(READ), "w1": after(0.0, WHOLE)}, **LET_GO).up()
+        writer = site.engines["w1"]
+        await site.client(ask("a1", info=LONG))
+        await until(lambda: not site.node.router.flights)
+        await sleep(0.1)
+        for connection in writer.connections:
+            connection.transport.pauseProducing()
+        site.deleted.clear()
+        await site.client(ask("a2", info=LONG))
+        await until(lambda: ("r1", "a2") in site.deleted or ("w1", "a2") in site.deleted or len(writer.requests) > 1)
+        took = reactor.seconds() - read_at[-1]
+        await site.close()
+        return took
+    read_at = []
+    assert on_loop(scene) < ALLOWED_S
