One guard for each send, a monitor that counts broken invariants, reasons in the log

A line 'guards' every 5 s tells violations, permits, denials, outcomes of attempts and close reasons; a retry's line says after what.

--- /dev/null
+++ b/aniserudder/core/invariants.py
@@ -0,0 +1,162 @@
+"""Run-time checks of what binds every request: one final answer in time, no second copy, no forbidden repeat, no send that may not be.
+
+The monitor follows each request from events alone and shares no state with the decision module or the guard that permits sends
+(``guard.py``). It never corrects anything: a violation is counted and logged, so that a fault that slips past a guard is seen in
+production, in the soak and in tests.
+"""
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..decisions.interface import Availability, Effect, Outcome, RosterRow
+
+ANSWER_SLACK_US = 500_000    # after a request's time its answer may still come, worth nothing
+DEADLINE_SLACK_US = 150_000  # by which the time told to an engine may exceed what the client has left
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.READ})
+
+
+class Violation(Enum):
+    """What must never happen."""
+    SENT_AFTER_ANSWER = "an attempt was sent after the final answer"
+    SENT_AFTER_CLIENT_LEFT = "an attempt was sent after its client left"
+    SENT_BESIDE_ANOTHER = "an attempt was sent while an earlier one was out"
+    SENT_TO_WITHDRAWN_ENGINE = "an attempt was sent to an engine that drains or is gone"
+    REPEATED_ONCE_ONLY = "a request that must run once was sent again though it may have run"
+    REPEATED_OUTSIDE_WINDOW = "a tokened request was sent again behind its repeat window"
+    DEADLINE_BEYOND_CLIENT = "an engine was told more time than the client has left"
+    SECOND_ANSWER = "a second final answer"
+    LATE_ANSWER = "a final answer long after the client's time"
+    UNANSWERED = "a request was forgotten without a final answer"
+    CLOSED_UNANSWERED = "a connection was closed over requests that had been read"
+
+
+@dataclass(slots=True)
+class _Tracked:
+    """One request as the monitor follows it; times in microseconds of the router's clock."""
+    abandon_at: int
+    effect: Effect
+    window: int
+    out: int | None = None             # ordinal of the attempt that was sent and has not ended
+    sent: set[int] = field(default_factory=set)
+    sent_at: dict[int, int] = field(default_factory=dict)
+    may_have_run_at: int | None = None  # when the first attempt was sent that may have run
+    streaming: bool = False
+    answered: bool = False
+    left: bool = False
+
+
+class InvariantMonitor:
+    """Follows the requests of one router.
+
+    Args:
+        log: called as ``log(event, level=..., seq=..., reason=...)`` for each violation.
+    """
+
+    def __init__(self, log: Callable[..., None]) -> None:
+        self._log = log
+        self._requests: dict[str, _Tracked] = {}
+        self._withdrawn: set[str] = set()
+        self._known: set[str] = set()
+        self.violations: Counter[Violation] = Counter()
+
+    @property
+    def total(self) -> int:
+        """Violations since the start."""
+        return sum(self.violations.values())
+
+    def roster(self, rows: Iterable[RosterRow], complete: bool) -> None:
+        """The engine list changed."""
+        rows = list(rows)
+        if complete:
+            self._withdrawn |= self._known - {row.engine for row in rows}
+        for row in rows:
+            self._known.add(row.engine)
+            if row.availability is Availability.RUNNING:
+                self._withdrawn.discard(row.engine)
+            else:
+                self._withdrawn.add(row.engine)
+            if row.availability is Availability.GONE:
+                self._known.discard(row.engine)
+        if complete:
+            self._known &= {row.engine for row in rows}
+
+    def taken(self, request: str, abandon_at: int, effect: Effect, window: int) -> None:
+        """A request was taken: it is owed one final answer."""
+        self._requests[request] = _Tracked(abandon_at, effect, window)
+
+    def sent(self, request: str, ordinal: int, engine: str, told_us: int, now: int) -> None:
+        """An attempt's bytes are being written; ``told_us`` is the time that its engine is told."""
+        tracked = self._requests.get(request)
+        if tracked is None:
+            return self._violated(Violation.SENT_AFTER_ANSWER, request, engine)
+        if tracked.answered:
+            self._violated(Violation.SENT_AFTER_ANSWER, request, engine)
+        if tracked.left:
+            self._violated(Violation.SENT_AFTER_CLIENT_LEFT, request, engine)
+        if tracked.out is not None:
+            self._violated(Violation.SENT_BESIDE_ANOTHER, request, engine)
+        if engine in self._withdrawn:
+            self._violated(Violation.SENT_TO_WITHDRAWN_ENGINE, request, engine)
+        if not tracked.streaming and told_us > tracked.abandon_at - now + DEADLINE_SLACK_US:
+            self._violated(Violation.DEADLINE_BEYOND_CLIENT, request, engine)
+        self._check_repeat(tracked, request, engine, now)
+        tracked.out = ordinal
+        tracked.sent.add(ordinal)
+        tracked.sent_at[ordinal] = now
+
+    def _check_repeat(self, tracked: _Tracked, request: str, engine: str, now: int) -> None:
+        if tracked.may_have_run_at is None:
+            return
+        if tracked.effect is Effect.ONCE_ONLY:
+            self._violated(Violation.REPEATED_ONCE_ONLY, request, engine)
+        elif tracked.effect is Effect.TOKENED and now - tracked.may_have_run_at >= tracked.window:
+            self._violated(Violation.REPEATED_OUTSIDE_WINDOW, request, engine)
+
+    def started(self, request: str) -> None:
+        """The first event of its answer was passed on: its deadline no longer runs."""
+        tracked = self._requests.get(request)
+        if tracked:
+            tracked.streaming = True
+
+    def ended(self, request: str, ordinal: int, outcome: Outcome, reads: bool) -> None:
+        """An attempt is over, whether or not it was ever sent."""
+        tracked = self._requests.get(request)
+        if tracked is None:
+            return
+        if tracked.out == ordinal:
+            tracked.out = None
+        if ordinal in tracked.sent and outcome not in NEVER_RAN and not reads and tracked.may_have_run_at is None:
+            tracked.may_have_run_at = tracked.sent_at[ordinal]
+
+    def answered(self, request: str, now: int) -> None:
+        """The final answer was given."""
+        tracked = self._requests.get(request)
+        if tracked is None or tracked.answered:
+            return self._violated(Violation.SECOND_ANSWER, request, "")
+        tracked.answered = True
+        if not tracked.streaming and now > tracked.abandon_at + ANSWER_SLACK_US:
+            self._violated(Violation.LATE_ANSWER, request, f"{(now - tracked.abandon_at) // 1000} ms late")
+
+    def left(self, request: str) -> None:
+        """Its client closed or cancelled."""
+        tracked = self._requests.get(request)
+        if tracked:
+            tracked.left = True
+
+    def forgotten(self, request: str) -> None:
+        """The router keeps nothing of it any more."""
+        tracked = self._requests.pop(request, None)
+        if tracked and not tracked.answered and not tracked.left:
+            self._violated(Violation.UNANSWERED, request, "")
+
+    def closed_unanswered(self, reason: str, requests: int) -> None:
+        """A connection was closed by this side over requests that were read from it and have no whole answer."""
+        for _ in range(requests):
+            self._violated(Violation.CLOSED_UNANSWERED, "", reason)
+
+    def _violated(self, violation: Violation, request: str, detail: str) -> None:
+        self.violations[violation] += 1
+        self._log("invariant violated", level="error", seq=request, reason=f"{violation.value}{': ' * bool(detail)}{detail}")
--- a/aniserudder/core/router.py
+++ b/aniserudder/core/router.py
@@ -10,20 +10,22 @@
 """
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
-from ..decisions.interface import (Change, EngineChange, Outcome, Report, Role, RosterRow, SequenceChange, Settings,
+from ..decisions.interface import (Change, Effect, EngineChange, Outcome, Report, Role, RosterRow, SequenceChange, Settings,
                                    Standing, State)
 from ..decisions.rules import FIRST_READ_PACE, Node
 from ..streams.journal import Journal
 from ..streams.pace import PaceRules, Paces, Running
 from ..streams.recovery import Broken, Recovery, RecoveryRules
 from ..streams.seam import Misfit, Seam
+from .guard import Denial, Dispatch, DispatchGuard
+from .invariants import InvariantMonitor
 from .ports import Answer, Engines, Request, Usage
 from .record import (ArrivedCall, Call, EndedCall, GoesOnCall, LeftCall, NoRecord, ProbedCall, Recorder, RosterCall,
                      StartedCall, TricklesCall, WakeCall, make)
@@ -65,6 +67,7 @@
     seam: Seam | None = None
     running: Running | None = None  # its pace, once it has started
     held: bool = False              # nothing more is taken from its engine for now
+    sent: bool = False              # its bytes were given to a connection
 
     @property
     def seq_id(self) -> str:
@@ -133,6 +136,8 @@
     gone_on: int = 0   # of these, whose next token came
     misfits: int = 0   # continuations that did not fit what the client had
     moved: int = 0     # streams that trickled
+    retries: int = 0   # attempts in place of earlier ones
+    outcomes: Counter[Outcome] = field(default_factory=Counter)  # of attempts
 
 
 class Router:
@@ -154,6 +159,7 @@
                  streams: StreamRules | None = None) -> None:
         settings = replace(settings, streams_go_on=settings.streams_go_on and streams is not None)
         self.node = Node(settings, seed)
+        self.effects = {t.name: (t.effect, t.repeat_window) for t in settings.types}
         self.slos = {t.name: (t.latency_slo, t.slo_per_1000_tokens, t.utility, t.token_pace) for t in settings.types}
         self.engines, self.clock = engines, clock
         self.recorder, self.log = recorder or NoRecord(), log or (lambda event, **fields: None)
@@ -161,6 +167,8 @@
         self.counts = Counts()
         self.fields = settings.report_fields
         self.client_here: Callable[[str], bool] = lambda id: True  # whether the kernel knows nothing of its client's end
+        self.guard = DispatchGuard(lambda id: self.client_here(id), self.node.may_go_out)
+        self.invariants = InvariantMonitor(self.log)
         self.on_quiet: Callable[[], None] | None = None  # called when the last sequence is gone
         self._events: deque[Callable[[], None]] = deque()
         self._busy = False
@@ -192,6 +200,8 @@
                 flight.journal = journal if journal is not None else Journal(id)
                 self.recovery.arrived(now, request.prompt.tokens, self.slos.get(request.prompt.traffic_type, NO_SLO)[2])
             self.counts.taken += 1
+            effect, window = self.effects.get(request.prompt.traffic_type, (Effect.ONCE_ONLY, 0))
+            self.invariants.taken(id, flight.abandon_at, effect, window)
             flight.timer = self._later(request.prompt.time_left, lambda: self._time_up(flight))
             self._call(ArrivedCall(now, id, request.prompt), flight)
         self.tell(taken)
@@ -203,6 +213,7 @@
             if flight and not flight.answered:
                 flight.answered = True
                 self.counts.left += 1
+                self.invariants.left(id)
                 if self.streams:
                     self.recovery.left(flight)
                 self._call(LeftCall(self.now(), id), flight)
@@ -219,7 +230,10 @@
 
     def roster(self, rows: list[RosterRow], complete: bool) -> None:
         """News of the engine list; ``started_at`` of the rows is on the router's clock."""
-        self.tell(lambda: self._call(RosterCall(self.now(), rows, complete)))
+        def told() -> None:
+            self.invariants.roster(rows, complete)
+            self._call(RosterCall(self.now(), rows, complete))
+        self.tell(told)
 
     def give_up_all(self, reason: str) -> None:
         """Ends every sequence still here, as if their engines had been cut off: the node is about to go."""
@@ -267,6 +281,7 @@
                 self._plan_look()
         if not attempt.started:
             attempt.started = True
+            self.invariants.started(flight.id)
             self._cancel(attempt)
             for other in flight.read:  # the writer has fetched its state; what is held besides nobody will take
                 if other is not flight.held:
@@ -285,17 +300,20 @@
             flight.answer.text(piece)
 
     def _goes_out(self, attempt: Attempt) -> int:
-        """What held when the schedule attempt was decided may hold no more: guards against bytes for an engine that drains
-        by now, behind a repeat window, or for a client whose end the loop has not come to yet."""
+        """Microseconds left of an attempt's time-out as its bytes are about to be written; 0: the guard denies it."""
         flight, now = attempt.flight, self.now()
-        if flight.answered or flight.out is not attempt:
+        expires_at = attempt.sent_at + attempt.time_out
+        denial = self.guard.examine(
+            Dispatch(flight.id, attempt.ordinal, flight.answered, flight.out is not attempt, expires_at), now)
+        if denial:
+            self.log("attempt denied", level="info", seq=flight.id, state=flight.state.value, engine=attempt.engine,
+                     ordinal=attempt.ordinal, reason=denial.value)
+            if denial is Denial.CLIENT_GONE:
+                self.client_left(flight.id)
             return 0
-        if not self.client_here(flight.id):
-            self.client_left(flight.id)
-            return 0
-        if not self.node.may_go_out(now, flight.id, attempt.ordinal):
-            return 0
-        return max(0, attempt.sent_at + attempt.time_out - now)
+        attempt.sent = True
+        self.invariants.sent(flight.id, attempt.ordinal, attempt.engine, expires_at - now, now)
+        return expires_at - now
 
     def _continues(self, attempt: Attempt, at: int, digest: str) -> None:
         if attempt.seam and not attempt.over and attempt.flight.out is attempt:
@@ -321,6 +339,8 @@
             except Misfit as wrong:
                 return self._misfit(attempt, str(wrong))
         attempt.over, flight.out = True, None
+        self.invariants.ended(flight.id, attempt.ordinal, outcome, attempt.reads)
+        self.counts.outcomes[outcome] += 1
         self._cancel(attempt)
         now = self.now()
         if outcome is Outcome.READ:
@@ -353,7 +373,12 @@
     def _timed_out(self, attempt: Attempt) -> None:
         if not attempt.over:
             self.engines.call_off(attempt)
-            self._ended(attempt, Outcome.TIMED_OUT, NOTHING, None, f"nothing in {attempt.time_out // 1000} ms", None)
+            self._ended(attempt, self._expired(attempt), NOTHING, None, f"nothing in {attempt.time_out // 1000} ms", None)
+
+    @staticmethod
+    def _expired(attempt: Attempt) -> Outcome:
+        """An attempt whose time is up before its connection came up has run nowhere, and tells nothing of its engine."""
+        return Outcome.TIMED_OUT if attempt.sent else Outcome.NOT_SENT
 
     def _time_up(self, flight: Flight) -> None:
         """The abandon time: whatever is out is over, and the final answer goes out now."""
@@ -363,7 +388,7 @@
             if flight.out:
                 attempt = flight.out
                 self.engines.call_off(attempt)
-                self._ended(attempt, Outcome.TIMED_OUT, NOTHING, None, "the client's time is up", None)
+                self._ended(attempt, self._expired(attempt), NOTHING, None, "the client's time is up", None)
             if not flight.answered:
                 self._force(flight, "the client's time is up")
         self.tell(end)
@@ -544,9 +569,10 @@
         if flight.request.forced and not reads and flight.journal is not None:
             attempt.seam = Seam(flight.journal)
         self.counts.attempts += 1
+        self.counts.retries += change.ordinal > 0 and not held
         attempt.timer = self._later(change.time_out, lambda: self.tell(lambda: self._timed_out(attempt)))
         self.log("attempt", level="debug", seq=flight.id, state=change.state.value, engine=change.engine,
-                 ordinal=change.ordinal, reason="")
+                 ordinal=change.ordinal, reason=f"after {flight.why}" if flight.why else "")
         self.engines.send(attempt)
 
     def _recall(self, attempt: Attempt) -> None:
@@ -569,6 +595,7 @@
         if flight.answered:
             return
         flight.answered = True
+        self.invariants.answered(flight.id, self.now())
         if self.streams:
             self.recovery.left(flight)
         counter = {State.GENERATED: "generated", State.REJECTED: "rejected"}.get(flight.state, "aborted")
@@ -586,6 +613,7 @@
 
     def _forget(self, flight: Flight) -> None:
         self._cancel(flight)
+        self.invariants.forgotten(flight.id)
         self.flights.pop(flight.id, None)
 
     def _engine_changed(self, change: EngineChange) -> None:
--- a/aniserudder/measure/recovery.py
+++ b/aniserudder/measure/recovery.py
@@ -250,6 +250,7 @@
     # What routers ask.
 
     def send(self, attempt: Attempt) -> None:
+        attempt.goes_out()
         place = self.readers.get(attempt.engine) or self.writers[attempt.engine]
         self.clock.callLater(0.001, lambda: attempt.over or place.take(attempt))
 
--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -17,7 +17,7 @@
 from ..core.ports import Request, Usage
 from ..core.router import Router
 from ..decisions.interface import Prompt
-from ..wire.server import At, Bounds, Exchange, ServerConnection, ServerFactory, accepts
+from ..wire.server import At, Bounds, CloseReason, Exchange, ServerConnection, ServerFactory, accepts
 
 PATH, READY = "/v1/chat/completions", "/health/ready"
 BODY_MOST = 262_144      # PROTOCOL: a body holds 256 KiB at most
@@ -37,6 +37,10 @@
                          "request-timeout"})
 
 
+# Reasons to close a connection that are this side's own; the others are the client's doing.
+OWN_WILL = frozenset({CloseReason.IDLE, CloseReason.SHED, CloseReason.STOPPING, CloseReason.LAST_ANSWER})
+
+
 class NoRequest(Exception):
     """What came is no request of this service: the status that it is answered with, and why."""
 
@@ -166,6 +170,7 @@
         bounds = Bounds(body=BODY_MOST, request_s=OPENING_S, idle_s=KEPT_S, first_s=OPENING_S, opening_s=OPENING_S,
                         waiting=BODY_MOST, linger_s=LINGER_S)
         self.factory = ServerFactory(clock, bounds, self._asked, self)
+        self.factory.on_closing = self._closing
         self.ready = self.stopping = False
         self.turned_away = self.shed = 0
         self.port: IListeningPort | None = None
@@ -284,6 +289,13 @@
         self.descriptors.exhausted()
         self._calm(Calm.SHUT)
 
+    def _closing(self, connection: ServerConnection, reason: CloseReason, owed: int) -> None:
+        """A connection ends; by this side's own will none may while an answer is owed on it."""
+        if owed and reason in OWN_WILL:
+            self.router.invariants.closed_unanswered(reason.value, owed)
+        if owed:
+            self.log("connection closed", level="info", reason=f"{reason.value}; {owed} requests unanswered")
+
     def _note(self) -> None:
         self._calm(self.descriptors.note("clients", len(self.factory.connections)))
 
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -134,6 +134,7 @@
         if self.clients.factory.connections and self.reactor.seconds() < until:
             self.reactor.callLater(LOOK_S, self._leave, until)
             return
+        self.log("guards", level="error" if self.router.invariants.total else "info", reason=self._guards())
         self.log("stopped", level="info", reason=f"{self.router.counts.taken} sequences were taken")
         self.stopped.callback(None)
 
@@ -167,8 +168,18 @@
             f"{counts.rejected}, aborted {counts.aborted}, left {counts.left}, turned away {self.clients.turned_away}, shed "
             f"{self.clients.shed}, connects {self.engines.counts.connects} of them failed {self.engines.counts.connect_failures}, "
             f"reused {self.engines.counts.reused}, stale {self.engines.counts.stale}, rested {self.engines.counts.rested}, releases lost {self.engines.releases_lost}"))
+        self.log("guards", level="error" if self.router.invariants.total else "info", reason=self._guards())
         self.latest = 0.0
 
+    def _guards(self) -> str:
+        """What the guards permitted and denied, how attempts ended, why connections closed; rules broken, if any."""
+        router = self.router
+        parts = [f"violations {router.invariants.total}", f"permitted {router.guard.permitted}", f"retries {router.counts.retries}"]
+        parts += [f"denied as {denial.name.lower()} {count}" for denial, count in router.guard.denials.items()]
+        parts += [f"ended {outcome.value} {count}" for outcome, count in router.counts.outcomes.items()]
+        parts += [f"closed as {reason.name.lower()} {count}" for reason, count in self.clients.factory.closes.items()]
+        return ", ".join(parts)
+
 
 def resident_kb() -> int:
     """Memory that the process holds at present, in KiB."""
--- a/tests/stand.py
+++ b/tests/stand.py
@@ -37,6 +37,7 @@
         state = " with state" if attempt.state else ""
         self.did.append(f"{'read' if attempt.reads else 'write'} {attempt.seq_id}/{attempt.ordinal} at {attempt.engine}{state}")
         self.sent.append(attempt)
+        attempt.goes_out()
 
     def call_off(self, attempt: Any) -> None:
         self.did.append(f"call off {attempt.seq_id}/{attempt.ordinal}")
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,108 @@
+"""The guard that permits sends, and the monitor that counts what must never happen: each rule is broken by hand and seen."""
+import pytest
+
+from aniserudder.core.guard import Denial, Dispatch, DispatchGuard
+from aniserudder.core.invariants import InvariantMonitor, Violation
+from aniserudder.decisions.interface import Availability, Effect, Outcome, RosterRow
+from stand import Bench
+
+S = 1_000_000
+
+
+def row(engine, availability=Availability.RUNNING):
+    return RosterRow(engine, "w", "east", availability, 0, 1.0, 1)
+
+
+class Followed:
+    """A monitor with one request ``a`` of one second and two engines."""
+
+    def __init__(self, effect=Effect.REPEATABLE):
+        self.lines = []
+        self.monitor = InvariantMonitor(lambda event, **fields: self.lines.append((event, fields["reason"])))
+        self.monitor.roster([row("w1"), row("w2")], True)
+        self.monitor.taken("a", S, effect, S // 2)
+
+    def sent(self, at=0, engine="w1", ordinal=0, told=None):
+        self.monitor.sent("a", ordinal, engine, S - at if told is None else told, at)
+        return self
+
+    def ended(self, outcome=Outcome.ERROR, ordinal=0, reads=False):
+        self.monitor.ended("a", ordinal, outcome, reads)
+        return self
+
+    @property
+    def seen(self):
+        return [violation for violation, count in self.monitor.violations.items() for _ in range(count)]
+
+
+def test_a_request_that_is_read_written_retried_and_answered_breaks_nothing():
+    one = Followed(Effect.ONCE_ONLY)
+    one.sent().ended(Outcome.READ, reads=True).sent(100, ordinal=1).ended(Outcome.FULL, 1).sent(200, "w2", 2)
+    one.monitor.started("a")
+    one.monitor.answered("a", 9 * S)
+    one.ended(Outcome.GENERATED, 2).monitor.forgotten("a")
+    assert one.seen == [] and one.lines == []
+
+
+@pytest.mark.parametrize("effect, events, violation", [
+    (Effect.REPEATABLE, lambda o: (o.monitor.answered("a", 1), o.sent(2)), Violation.SENT_AFTER_ANSWER),
+    (Effect.REPEATABLE, lambda o: (o.monitor.answered("a", 1), o.monitor.forgotten("a"), o.sent(2)), Violation.SENT_AFTER_ANSWER),
+    (Effect.REPEATABLE, lambda o: (o.monitor.left("a"), o.sent(2)), Violation.SENT_AFTER_CLIENT_LEFT),
+    (Effect.REPEATABLE, lambda o: (o.sent(1), o.sent(2, ordinal=1)), Violation.SENT_BESIDE_ANOTHER),
+    (Effect.REPEATABLE, lambda o: (o.monitor.roster([row("w1", Availability.DRAINING)], False), o.sent(2)), Violation.SENT_TO_WITHDRAWN_ENGINE),
+    (Effect.REPEATABLE, lambda o: (o.monitor.roster([row("w2")], True), o.sent(2)), Violation.SENT_TO_WITHDRAWN_ENGINE),
+    (Effect.ONCE_ONLY, lambda o: (o.sent(1), o.ended(), o.sent(2, ordinal=1)), Violation.REPEATED_ONCE_ONLY),
+    (Effect.TOKENED, lambda o: (o.sent(1), o.ended(), o.sent(600_000, ordinal=1)), Violation.REPEATED_OUTSIDE_WINDOW),
+    (Effect.REPEATABLE, lambda o: o.sent(0, told=S + 160_000), Violation.DEADLINE_BEYOND_CLIENT),
+    (Effect.REPEATABLE, lambda o: (o.monitor.answered("a", 1), o.monitor.answered("a", 2)), Violation.SECOND_ANSWER),
+    (Effect.REPEATABLE, lambda o: o.monitor.answered("a", S + 600_000), Violation.LATE_ANSWER),
+    (Effect.REPEATABLE, lambda o: o.monitor.forgotten("a"), Violation.UNANSWERED),
+    (Effect.REPEATABLE, lambda o: o.monitor.closed_unanswered("its descriptor was needed", 1), Violation.CLOSED_UNANSWERED)])
+def test_each_broken_rule_is_counted_once_and_logged(effect, events, violation):
+    one = Followed(effect)
+    events(one)
+    assert one.seen == [violation]
+    [(event, reason)] = one.lines
+    assert event == "invariant violated" and reason.startswith(violation.value)
+
+
+def test_tokened_repeats_inside_their_window_and_what_was_never_sent_break_nothing():
+    one = Followed(Effect.TOKENED)
+    one.sent(1).ended().sent(400_000, ordinal=1).ended(Outcome.CUT, 1)
+    other = Followed(Effect.ONCE_ONLY)
+    other.ended(Outcome.TIMED_OUT, 0).sent(5, ordinal=1)
+    assert one.seen == other.seen == []
+
+
+@pytest.mark.parametrize("dispatch, here, allowed, denial", [
+    (Dispatch("a", 0, False, False, 10), True, True, None),
+    (Dispatch("a", 0, True, False, 10), True, True, Denial.ANSWERED),
+    (Dispatch("a", 0, False, True, 10), True, True, Denial.SUPERSEDED),
+    (Dispatch("a", 0, False, False, 10), False, True, Denial.CLIENT_GONE),
+    (Dispatch("a", 0, False, False, 10), True, False, Denial.WITHDRAWN),
+    (Dispatch("a", 0, False, False, 5), True, True, Denial.NO_TIME)])
+def test_the_guard_says_why_it_denies_and_counts_it(dispatch, here, allowed, denial):
+    guard = DispatchGuard(lambda request: here, lambda now, request, ordinal: allowed)
+    assert guard.examine(dispatch, 5) is denial
+    assert guard.permitted == (denial is None) and sum(guard.denials.values()) == (denial is not None)
+
+
+def test_a_router_whose_guard_is_broken_by_hand_is_caught_by_its_monitor():
+    """The client has left, and the guard lets the attempt out all the same."""
+    bench = Bench(may_recall=False)
+    bench.router.guard.examine = lambda dispatch, now: None
+    bench.take("a")
+    attempt = bench.last
+    bench.router.invariants.ended("a", attempt.ordinal, Outcome.NOT_SENT, True)
+    bench.router.client_left("a")
+    attempt.goes_out()
+    assert bench.router.invariants.violations[Violation.SENT_AFTER_CLIENT_LEFT] == 1
+
+
+def test_an_attempt_given_up_before_a_byte_went_out_has_not_run():
+    """Its connection did not come up before its client's time was over: another try is harmless, also of what must run once only."""
+    bench = Bench("w1")
+    bench.engines.send = bench.engines.sent.append  # the connection never comes up
+    answer = bench.take("a", "post")
+    bench.clock.advance(6.1)
+    assert answer.told and answer.told[0].startswith("rejected") and not bench.router.invariants.total
