--- a/tests/test_fault_hunt.py
+++ b/tests/test_fault_hunt.py
@@ -1,9 +1,16 @@
 """Faults found by reading paths for crossings of events: each crossing is made to happen, on real connections."""
+import errno
+import json
+
 from aniserudder.eventloop import reactor
-from platform_stand import READ, WHOLE, Site, ask
+from aniserudder.soak.control import Slot
+from node_process import NodeProcess
+from platform_stand import READ, WHOLE, Party, Site, ask
 from stand import on_loop, sleep, until
 from test_platform_races import ALLOWED_S, LET_GO, LONG
 
+SOCKET_ERRORS = (errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE)  # of making a socket
+CONNECT_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH)                  # of connecting it
 # A type that is sent once only, so that its engine is told all that its client has left, and whose SLO does not get in the way.
 PATIENT = [{"name": "draft", "goal-time": 20.0, "deadline": 30.0, "semantics": "side_effect", "stream": True, "points": 1.0}]
 
@@ -77,3 +84,59 @@
         return took
     read_at = []
     assert on_loop(scene) < ALLOWED_S
+
+
+def test_a_configuration_that_is_half_written_as_the_signal_comes_is_read_when_it_is_whole(tmp_path):
+    async def scene():
+        site = await Site({"m1": after(0.0, WHOLE)}).up()
+        elsewhere = Party("elsewhere", site.log, lambda connection, request: site.tell(site.listed(), connection))
+        path, whole = tmp_path / "config.json", json.dumps({**site.conf, "discovery": elsewhere.address})
+        path.write_text(whole[:200])
+        site.node.reload(path)
+        await sleep(0.2)
+        path.write_text(whole)
+        await until(lambda: elsewhere.requests, 2)
+        await site.close()
+        elsewhere.stop()
+    on_loop(scene)
+
+
+def test_discovery_that_needs_over_a_second_for_an_answer_is_heard():
+    """It is crowded: each answer comes 1.5 s after its call, in order, and calls on closed connections are in the queue as well."""
+    async def scene():
+        site = await Site({"m1": after(0.0, WHOLE), "m2": after(0.0, WHOLE)}).up()
+        for connection in site.discovery.connections:
+            connection.transport.abortConnection()
+        news = site.listed(site.member("m1", "DRAINING"), site.member("m2"))
+        site.discovery.answer = lambda connection, request: reactor.callLater(1.5, site.tell, news, connection)
+        await until(lambda: not site.node.router.node.engines["m1"].listed, 5)
+        await site.close()
+    on_loop(scene)
+
+
+def test_what_the_own_system_refuses_is_not_held_against_engines(tmp_path):
+    """For a while no connection can be made. The engine has done nothing: once it can be reached again it gets the next request."""
+    async def scene():
+        node, answers = await NodeProcess(Site({"m1": after(0.0, WHOLE)}), tmp_path).up(), {}
+        for number in (*SOCKET_ERRORS, *CONNECT_ERRORS):
+            errno_slot, part = ((Slot.SOCKET_ERRNO, Slot.SOCKET_PART) if number in SOCKET_ERRORS else
+                                (Slot.CONNECT_ERRNO, Slot.CONNECT_PART))
+            for connection in node.site.engines["m1"].connections:
+                connection.transport.abortConnection()
+            await sleep(0.1)
+            node.page.set(errno_slot, number)
+            node.page.set(part, 1.0)
+            told = [await answered(node, f"a{number}-{at}") for at in range(4)]
+            node.page.set(part, 0.0)
+            answers[errno.errorcode[number]] = [*told, await answered(node, f"b{number}")]
+        await node.close()
+        return answers
+    for name, told in on_loop(scene, 40).items():
+        assert told == [b"HTTP/1.1 503"] * 4 + [b"HTTP/1.1 200"], name
+
+
+async def answered(node, id):
+    """The first line of an answer, in part."""
+    client = await node.ask(id)
+    await until(lambda: client.data)
+    return client.data[:12]
