Reloads are tried again, slow discovery is heard, local system errors are not the engines'

Cause: PlatformNode.reload read the file once; Discovery gave each try 0.8 s; Connections told every failed connect but EMFILE and ENFILE as 'no route', for which the module ejects. Change: a file that cannot be used is read again for 2 s; every fourth try waits for 5 s, and a watch is given what answers took of late, up to 1.9 s beyond its hold; EADDRNOTAVAIL, EAGAIN, ENOBUFS, ENOMEM, and ENETUNREACH unless another server was reached within a second, end as 'not sent'. A listener that the system refuses rests 20 ms in place of waking the loop at once.

--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -289,6 +289,10 @@
         self.descriptors.exhausted()
         self._calm(Calm.SHUT)
 
+    def accept_again(self) -> None:
+        """After a pause: the listener takes connections again, if there is room."""
+        self._note()
+
     def _closing(self, connection: ServerConnection, reason: CloseReason, owed: int) -> None:
         """A connection ends; by this side's own will none may while an answer is owed on it."""
         if owed and reason in OWN_WILL:
--- a/aniserudder/platform/discovery.py
+++ b/aniserudder/platform/discovery.py
@@ -25,6 +25,9 @@
 TOLD_S = 6.0          # a change counts as told so long after discovery had it, whatever fell silent meanwhile
 HOLD_MS = 2_000       # that a watch waits for news; PROTOCOL allows 60,000
 ANSWER_S = 0.8        # beyond the hold; the agent stands on the same machine and answers at once, or not at all
+PATIENT_S, PATIENT_EVERY = 5.0, 4  # one try of so many waits for so long: the agent may be slow, and not gone
+WATCH_SLOWER_S = 1.9  # that a watch of a slow agent is given beyond its hold; with a list after it this fits into TOLD_S
+SLOWER, QUICKER = 1.5, 0.8  # what is expected of the next answer: times what a slow one took; and how that is forgotten
 TRIES_IN_GRACE = 4    # while nothing answers: so many tries in the time in which a drain has to be heeded
 LATEST_S = 0.05       # a loop that is later than this has not come to what the kernel holds
 LIST_MOST = 8_388_608  # bytes of an answer
@@ -111,6 +114,8 @@
         self.revision = -1
         self.listed: dict[str, str] = {}  # engine: address
         self.away = False
+        self._tries = 0  # since an answer came
+        self._answer_s = ANSWER_S  # that an answer is waited for beyond a watch's hold
         self._calls: dict[_Call, None] = {}  # that are out: one watch, or tries
         self._resting: ClientConnection | None = None  # answered, and asked anew in the next turn
         self._next: IDelayedCall | None = None  # what is done next: a try, or a watch
@@ -162,7 +167,8 @@
         if self._stopped:
             return
         self._next = self.reactor.callLater(self.again, self._locate)
-        call = _Call(self, ANSWER_S)
+        self._tries += 1
+        call = _Call(self, ANSWER_S if self._tries % PATIENT_EVERY else PATIENT_S)
         self._calls[call] = None
         host, port = self.address
         factory = Factory.forProtocol(lambda: ClientConnection(f"{host}:{port}", lambda c: None, lambda c: None))
@@ -173,7 +179,7 @@
                 return connection.drop()
             call.ask(connection, LIST)
 
-        endpoint = TCP4ClientEndpoint(self.reactor, host, port, timeout=ANSWER_S)
+        endpoint = TCP4ClientEndpoint(self.reactor, host, port, timeout=ANSWER_S)  # the agent stands on the same machine
         endpoint.connect(factory).addCallbacks(made, lambda failure: call.failed("no connection"))
 
     def _watch(self) -> None:
@@ -182,7 +188,7 @@
         if not connection.quiet:
             connection.drop()
             return self._locate()
-        call = _Call(self, HOLD_MS / 1000 + ANSWER_S)
+        call = _Call(self, HOLD_MS / 1000 + self._answer_s, HOLD_MS / 1000)
         self._calls[call] = None
         call.ask(connection, f"{LIST}?from={self.revision}&hold_ms={HOLD_MS}")
 
@@ -196,6 +202,8 @@
             return call.failed(f"an answer cannot be used: {wrong}")
         connection, call.connection = call.connection, None
         self._drop()
+        self._tries = 0
+        self._expect(call)
         self.take(news)
         if self.away:
             self.away = False
@@ -206,6 +214,11 @@
         self._resting = connection
         self._next = self.reactor.callLater(0, self._watch)  # not before the answer's bytes have all been read
 
+    def _expect(self, call: _Call) -> None:
+        """How long the next answer may take, after one that came."""
+        took = self.reactor.seconds() - call.began - call.hold_s
+        self._answer_s = min(WATCH_SLOWER_S, max(ANSWER_S, QUICKER * self._answer_s, SLOWER * took))
+
     def lost(self, call: _Call, reason: str) -> None:
         """A call came to nothing. A watch that did is opened anew: changes build on one another, so by the whole list."""
         self._calls.pop(call, None)
@@ -231,10 +244,11 @@
 class _Call:
     """One call and its answer (``wire.client.Exchange``), bounded in time."""
 
-    __slots__ = ("owner", "connection", "status", "data", "due", "timer", "over")
+    __slots__ = ("owner", "connection", "status", "data", "began", "hold_s", "due", "timer", "over")
 
-    def __init__(self, owner: Discovery, patience: float) -> None:
+    def __init__(self, owner: Discovery, patience: float, hold_s: float = 0.0) -> None:
         self.owner, self.status, self.data, self.over = owner, 0, bytearray(), False
+        self.began, self.hold_s = owner.reactor.seconds(), hold_s
         self.connection: ClientConnection | None = None
         self.due = owner.reactor.seconds() + patience
         self.timer = owner.reactor.callLater(patience, self._silent)
--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -4,7 +4,7 @@
 outcome     when
 =========== ==============================================================================================
 no route    no connection came up, or it broke before the request's last byte was written: it never ran
-not sent    no descriptor was left: it tells nothing of the engine
+not sent    no descriptor, port or memory was left here: it tells nothing of the engine
 full        503 or 504 with ``Not-Started: 1``: it never ran
 no state    410 with ``Not-Started: 1``: it never ran
 read        202 from a reader
@@ -27,7 +27,7 @@
 from ..core.ports import Attempt, Usage
 from ..decisions.interface import Outcome
 from ..wire.client import ClientConnection
-from ..wire.connections import NO_DESCRIPTOR, Connections, Keeping
+from ..wire.connections import LOCAL_TROUBLE, NO_DESCRIPTOR, Connections, Keeping
 from .config import Facts
 
 RESERVATIONS, STATS = "/internal/reservations", "/stats"
@@ -307,7 +307,7 @@
                 held.sent(run.arrived)
 
         def failed(reason: str) -> None:
-            run.finish(Outcome.NOT_SENT if reason == NO_DESCRIPTOR else Outcome.NO_ROUTE, reason)
+            run.finish(Outcome.NOT_SENT if reason in (NO_DESCRIPTOR, LOCAL_TROUBLE) else Outcome.NO_ROUTE, reason)
 
         fetches_state = attempt.seq_id in self.held
         self.connected(attempt.engine, ready, failed, PROVEN_FOR_S if fetches_state else math.inf)
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -14,13 +14,13 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
-from twisted.internet.interfaces import IListeningPort, IReactorTCP
+from twisted.internet.interfaces import IDelayedCall, IListeningPort, IReactorTCP
 
 from .. import logs
 from ..admission.descriptors import Descriptors
 from ..core.router import Router
 from ..decisions.interface import Role
-from ..wire.server import accept_waiting
+from ..wire.server import accept_waiting, accepts
 from . import config
 from .clients import LINGER_S, OPENING_S, Clients
 from .discovery import Discovery
@@ -36,6 +36,8 @@
 LOOK_S = 0.05              # between looks at what a stopping node still owes
 FIGURES_S = 5.0            # between lines of figures
 LATE_S, LATE_EVERY_S = 0.25, 0.1  # a loop that is later than this is told
+RELOAD_AGAIN_S, RELOAD_FOR_S = 0.1, 2.0  # a file that cannot be used may be half written: so long it is read again
+ACCEPT_PAUSE_S = 0.02      # after a turn in which the system refused to accept: the queue would wake the loop at once
 LINES_PER_S = 10           # of the log, and three times as many saved up
 
 
@@ -62,6 +64,8 @@
         self.latest = 0.0  # seconds; the most that the loop was late since the last line of figures
         self._port: IListeningPort | None = None
         self._stopping = False
+        self._reload_again: IDelayedCall | None = None
+        self._reload_problem = ""  # as it was told last
         self.stopped: Deferred[None] = Deferred()
 
     def start(self) -> None:
@@ -84,8 +88,10 @@
         inner = port.doRead
 
         def read() -> None:
-            port.numberAccepts = self.clients.room
+            port.numberAccepts, before = self.clients.room, port.sessionno
             inner()
+            if port.sessionno == before and accepts(port, False):  # the system refused: ENFILE, ENOBUFS, ENOMEM, ECONNABORTED
+                self.reactor.callLater(ACCEPT_PAUSE_S, self.clients.accept_again)
         port.doRead = read
 
     @property
@@ -96,11 +102,22 @@
 
     def reload(self, path: Path) -> None:
         """Reads the configuration anew. Discovery's address is taken over at once; other settings hold from the next start.
-        A file that cannot be used changes nothing."""
+        A file that cannot be used changes nothing; it is read again for a while, as it may have been half written."""
+        if self._reload_again and self._reload_again.active():
+            self._reload_again.cancel()
+        self._reload(path, self.reactor.seconds() + RELOAD_FOR_S)
+
+    def _reload(self, path: Path, until: float) -> None:
         try:
             fresh = config.read(path)
         except config.BadConfig as wrong:
-            return self.log("reload refused", level="error", reason=str(wrong))
+            if str(wrong) != self._reload_problem:
+                self._reload_problem = str(wrong)
+                self.log("reload refused", level="error", reason=str(wrong))
+            if self.reactor.seconds() < until and not self._stopping:
+                self._reload_again = self.reactor.callLater(RELOAD_AGAIN_S, self._reload, path, until)
+            return
+        self._reload_problem = ""
         if fresh.settings != self.conf.settings:
             self.log("settings hold from the next start", level="warning", reason=str(path))
         if fresh.discovery != self.discovery.address:
--- a/aniserudder/wire/connections.py
+++ b/aniserudder/wire/connections.py
@@ -39,6 +39,11 @@
 
 
 NO_DESCRIPTOR = "no descriptor is left"
+LOCAL_TROUBLE = "this system cannot connect"
+EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE})
+# Of this system, whatever the server does (connect(2), socket(2)): no port, no memory.
+LOCAL_ERRORS = frozenset({errno.EADDRNOTAVAIL, errno.EAGAIN, errno.ENOBUFS, errno.ENOMEM})
+NETWORK_PROOF_S = 1.0  # a connection made to another server within this time shows that this system's network is there
 AGES = 16              # octaves of milliseconds that a connection may have been idle
 HALF_LIFE_S = 20.0     # in which what was seen of an age counts half
 RISKY, SEEN = 0.03, 0.5  # an age is risky above this share of resets, if so many were seen
@@ -126,6 +131,7 @@
         self.counts = ConnectionCounts()
         self.idle_ages = IdleAges()
         self.open = 0        # connections that are open or being made
+        self._last_made: tuple[str, float] = ("", -math.inf)  # the server last connected to, and when
         self.on_exhausted: Callable[[], None] = lambda: None  # told when there was no descriptor for a connection
         self.closed = False
 
@@ -170,19 +176,30 @@
 
         def made(connection: ClientConnection) -> None:
             connection.place = place
+            self._last_made = engine, self.reactor.seconds()
             ready(connection)
 
         def not_made(failure: Failure) -> None:
             self.counts.connect_failures += 1
             self.open -= 1
-            if getattr(failure.value, "osError", None) in (errno.EMFILE, errno.ENFILE) or getattr(
-                    failure.value, "errno", None) in (errno.EMFILE, errno.ENFILE):
+            number = getattr(failure.value, "osError", None) or getattr(failure.value, "errno", None)
+            if number in EXHAUSTED:
                 self.on_exhausted()
                 return failed(NO_DESCRIPTOR)
+            if self._is_local(number, engine):
+                return failed(LOCAL_TROUBLE)
             failed(f"no connection: {failure.value.__class__.__name__}")
 
         endpoint.connect(factory).addCallbacks(made, not_made)
 
+    def _is_local(self, number: int | None, server: str) -> bool:
+        """Whether a connection failed for a reason of this system, so that it tells nothing of the server. A network that is
+        unreachable is the server's while others have just been reached."""
+        if number == errno.ENETUNREACH:
+            last, at = self._last_made
+            return last in ("", server) or self.reactor.seconds() - at > NETWORK_PROOF_S
+        return number in LOCAL_ERRORS
+
     def ask(self, name: str, method: str, path: str, body: bytes, most: int, within: float,
             done: Callable[[int, bytes], None]) -> None:
         """One small exchange within so many seconds. ``done`` is called once; status 0: it did not come off."""
