Listeners get along with accept errors, starts with a system that is short for a moment

Cause: Twisted's Port.doRead raises what accept(2) says of one pending connection (EPROTO and its like: 'Unhandled Error'), closes the whole queue unread on EMFILE, and spins on ENFILE; the drain before a listener closes ended at the first refused call; listen was tried once and the node ended with 2. Change: wire/listening.py: errors of one connection are passed over, errors of the system let the port rest for 20 ms, the queue is drained while it is readable (1.5 s beyond the last comers at most); listening is tried for 10 s where the address or memory is missing. Errors of accept are counted in the 'guards' line.

--- a/aniserudder/messages/gate.py
+++ b/aniserudder/messages/gate.py
@@ -15,7 +15,8 @@
 from ..admission.door import Door, Refused, Ticket
 from ..admission.entry import Discipline, EntryQueue, Waiting
 from ..settings.schema import Admission
-from ..wire.server import ServerConnection, accepts
+from ..wire.listening import accepts
+from ..wire.server import ServerConnection
 
 LOOK_EVERY = 0.5     # seconds between looks at what the process holds in all
 REFUSED_S = 0.5      # seconds that a refused connection has to say what it wants
--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -17,7 +17,8 @@
 from ..core.ports import Request, Usage
 from ..core.router import Router
 from ..decisions.interface import Prompt
-from ..wire.server import At, Bounds, CloseReason, Exchange, ServerConnection, ServerFactory, accepts
+from ..wire.listening import accepts
+from ..wire.server import At, Bounds, CloseReason, Exchange, ServerConnection, ServerFactory
 
 PATH, READY = "/v1/chat/completions", "/health/ready"
 BODY_MOST = 262_144      # PROTOCOL: a body holds 256 KiB at most
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -4,11 +4,13 @@
 """
 from __future__ import annotations
 
+import errno
 import gc
 import os
 import resource
 import signal
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -20,7 +22,7 @@
 from ..admission.descriptors import Descriptors
 from ..core.router import Router
 from ..decisions.interface import Role
-from ..wire.server import accept_waiting, accepts
+from ..wire.listening import SYSTEM, Acceptor
 from . import config
 from .clients import LINGER_S, OPENING_S, Clients
 from .discovery import Discovery
@@ -37,7 +39,9 @@
 FIGURES_S = 5.0            # between lines of figures
 LATE_S, LATE_EVERY_S = 0.25, 0.1  # a loop that is later than this is told
 RELOAD_AGAIN_S, RELOAD_FOR_S = 0.1, 2.0  # a file that cannot be used may be half written: so long it is read again
-ACCEPT_PAUSE_S = 0.02      # after a turn in which the system refused to accept: the queue would wake the loop at once
+DOOR_HELD_S = 1.5          # that a stopping node's listener waits for a system that refuses to accept
+LISTEN_AGAIN_S, LISTEN_FOR_S = 0.1, 10.0  # an address may still be the last process's, and memory short for a moment
+LISTEN_ERRORS = SYSTEM | {errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EINTR}
 LINES_PER_S = 10           # of the log, and three times as many saved up
 
 
@@ -63,6 +67,8 @@
                                    self._ready)
         self.latest = 0.0  # seconds; the most that the loop was late since the last line of figures
         self._port: IListeningPort | None = None
+        self._acceptor: Acceptor | None = None
+        self._door_until = 0.0  # seconds; a stopping node's listener closes then, whoever waits
         self._stopping = False
         self._reload_again: IDelayedCall | None = None
         self._reload_problem = ""  # as it was told last
@@ -74,25 +80,34 @@
         Raises:
             twisted.internet.error.CannotListenError: the address cannot be had.
         """
-        host, port = self.conf.listen
-        self._port = self.clients.port = self.reactor.listenTCP(port, self.clients.factory, interface=host, backlog=1024)
-        self._take_as_many_as_there_is_room_for(self._port)
+        self._port = self.clients.port = self._listen()
+        self._acceptor = Acceptor(self._port, lambda: self.clients.room, self.clients.accept_again)
         self.discovery.start(self.conf.known)
         self.reactor.callLater(READY_S, self._ready)
         self.reactor.callLater(LATE_EVERY_S, self._late, self.reactor.seconds() + LATE_EVERY_S)
         self.reactor.callLater(FIGURES_S, self._figures)
 
-    def _take_as_many_as_there_is_room_for(self, port: IListeningPort) -> None:
-        """A listener takes a hundred and more in one turn, however few there is room for; discovery, engines and readiness need
-        descriptors too. The others wait in the system's queue."""
-        inner = port.doRead
+    def _listen(self) -> IListeningPort:
+        """The listener. Before the reactor runs there is nothing else to do, so it is waited for here, as long as a start may take.
 
-        def read() -> None:
-            port.numberAccepts, before = self.clients.room, port.sessionno
-            inner()
-            if port.sessionno == before and accepts(port, False):  # the system refused: ENFILE, ENOBUFS, ENOMEM, ECONNABORTED
-                self.reactor.callLater(ACCEPT_PAUSE_S, self.clients.accept_again)
-        port.doRead = read
+        Raises:
+            twisted.internet.error.CannotListenError: the address cannot be had.
+        """
+        host, port = self.conf.listen
+        until, said = time.monotonic() + LISTEN_FOR_S, False
+        while True:
+            try:
+                return self.reactor.listenTCP(port, self.clients.factory, interface=host, backlog=1024)
+            except CannotListenError as problem:
+                refused = problem
+            except OSError as problem:  # Twisted makes the socket outside its own error handling
+                refused = CannotListenError(host, port, problem)
+            if refused.socketError.errno not in LISTEN_ERRORS or time.monotonic() > until:
+                raise refused
+            if not said:
+                self.log("cannot listen yet", level="warning", reason=f"{host}:{port}: {refused.socketError.strerror}")
+            said = True
+            time.sleep(LISTEN_AGAIN_S)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -130,11 +145,14 @@
             self._stopping = True
             self.log("stopping", level="info", reason=f"{len(self.router.flights)} sequences are here")
             self.clients.stop()
+            self._door_until = self.reactor.seconds() + LAST_COMERS_S + DOOR_HELD_S
             self.reactor.callLater(LAST_COMERS_S, self._close_door)
         return self.stopped
 
     def _close_door(self) -> None:
-        accept_waiting(self._port)
+        if not self._acceptor.drain() and self.reactor.seconds() < self._door_until:
+            self.reactor.callLater(LOOK_S, self._close_door)
+            return
         self._port.stopListening()
         self._wait()
 
@@ -194,6 +212,7 @@
         parts = [f"violations {router.invariants.total}", f"permitted {router.guard.permitted}", f"retries {router.counts.retries}"]
         parts += [f"denied as {denial.name.lower()} {count}" for denial, count in router.guard.denials.items()]
         parts += [f"ended {outcome.value} {count}" for outcome, count in router.counts.outcomes.items()]
+        parts += [f"accept {name} {count}" for name, count in (self._acceptor.socket.errors.items() if self._acceptor else ())]
         parts += [f"closed as {reason.name.lower()} {count}" for reason, count in self.clients.factory.closes.items()]
         return ", ".join(parts)
 
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -14,7 +14,7 @@
 from typing import Protocol as Shape
 
 import httptools
-from twisted.internet.interfaces import IDelayedCall, IHalfCloseableProtocol, IListeningPort, IPushProducer, IReactorTime
+from twisted.internet.interfaces import IDelayedCall, IHalfCloseableProtocol, IPushProducer, IReactorTime
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
 from zope.interface import implementer
@@ -24,23 +24,6 @@
 AHEAD = 4  # whole requests that a client may send before it is answered
 
 
-def accept_waiting(port: IListeningPort, most: int = 4096) -> None:
-    """Accepts who is complete for the system and waits in the listener's queue: closing the listener would reset them."""
-    for _ in range(most):
-        before = port.sessionno
-        port.doRead()
-        if port.sessionno == before:
-            return
-
-
-def accepts(port: IListeningPort | None, wanted: bool) -> bool:
-    """Has a listener take new connections, or leave them in the system's queue. Returns whether that changed anything."""
-    if port is None or not port.connected or (port in port.reactor.getReaders()) is wanted:
-        return False
-    port.startReading() if wanted else port.stopReading()
-    return True
-
-
 class At(Enum):
     """States of a connection."""
     IDLE = "idle"
