--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,86 @@
+"""The soak's oracle counts each broken rule, and a short soak of real processes plays and breaks none."""
+import subprocess
+import sys
+
+import pytest
+
+from aniserudder.soak import plan
+from aniserudder.soak.events import End, Event, EventLog, Kind, read
+from aniserudder.soak.oracle import Oracle, Rule, Terms
+
+TERMS = Terms(let_go=0.3, drain_grace=0.5, windows={"mark": 1.0}, once=frozenset({"send"}))
+BEGAN = 100.0
+
+
+class Story:
+    """Events of one request ``a`` that node n1 is asked at second 100."""
+
+    def __init__(self, kind="draft", timeout=2.0):
+        self.events = [Event(BEGAN, Kind.SENT, request="a", node="n1", value=timeout, text=kind)]
+
+    def at(self, after, kind, **fields):
+        fields = {"request": "a", "node": "n1", **fields}
+        self.events.append(Event(BEGAN + after, kind, **fields))
+        return self
+
+    def attempt(self, begin, end, how=End.SERVED, engine="w1", told=1.5):
+        self.at(begin, Kind.ATTEMPT, engine=engine, value=told)
+        return self.at(end, Kind.ATTEMPT_OVER, engine=engine, text=how.value)
+
+    def answered(self, after, text="200"):
+        return self.at(after, Kind.ANSWERED, text=text)
+
+    def broken(self):
+        last = max(event.at for event in self.events)
+        events = sorted([*self.events, Event(last + 20, Kind.FAULT)], key=lambda event: event.at)
+        return [breach.rule for breach in Oracle(events, TERMS).judge()]
+
+
+def test_a_request_that_is_read_written_and_answered_breaks_nothing():
+    story = Story("send").attempt(0.01, 0.05, End.READ, "r1").at(0.05, Kind.STATE_HELD, engine="r1")
+    story.at(0.1, Kind.STATE_GONE).attempt(0.06, 0.8).answered(0.81)
+    assert story.broken() == []
+
+
+@pytest.mark.parametrize("story, rule", [
+    (lambda: Story().at(0.5, Kind.CLOSED), Rule.ANSWER),
+    (lambda: Story(), Rule.ANSWER),
+    (lambda: Story().answered(2.9, "503"), Rule.ANSWER),
+    (lambda: Story().at(0.4, Kind.STREAM_BEGAN), Rule.ANSWER),
+    (lambda: Story("send").attempt(0.1, 0.4, End.FAILED).attempt(0.5, 0.9, engine="w2").answered(1), Rule.ONCE),
+    (lambda: Story("mark").attempt(0.1, 0.4, End.FAILED).attempt(1.5, 1.9, engine="w2", told=0.4).answered(2), Rule.ONCE),
+    (lambda: Story().attempt(0.1, 0.9, End.FAILED).attempt(0.3, 0.8, engine="w2").answered(1), Rule.ONCE),
+    (lambda: Story().at(-2.0, Kind.LISTED, engine="w1", text="DRAINING", value=BEGAN - 2).attempt(0.1, 0.9).answered(1), Rule.DRAIN),
+    (lambda: Story().attempt(0.1, 0.9, told=2.3).answered(1), Rule.DEADLINE),
+    (lambda: Story().at(0.2, Kind.LEFT).attempt(0.6, 0.9, told=1.3), Rule.LEFT),
+    (lambda: Story().attempt(0.1, 0.2, End.READ, "r1").at(0.2, Kind.STATE_HELD, engine="r1").at(1.2, Kind.STATE_GONE).answered(1.3, "503"), Rule.HELD),
+    (lambda: Story().answered(0.1).at(0.2, Kind.NODE_ENDED, request="", value=-6, text="by itself"), Rule.PROCESS)])
+def test_each_broken_rule_is_counted(story, rule):
+    assert story().broken() == [rule]
+
+
+def test_what_a_page_excuses_is_no_breach():
+    assert Story().at(0.5, Kind.NODE_KILLED, request="").broken() == []
+    assert Story().at(0.1, Kind.LEFT).broken() == []
+    assert Story().at(0.05, Kind.CLOSED, text="kept").broken() == []
+    assert Story().at(0.2, Kind.NODE_PAUSED, request="", value=BEGAN + 0.9).answered(2.9, "503").broken() == []
+
+
+def test_a_plan_comes_from_its_seed_alone_and_has_overlapping_faults():
+    one, again, other = (plan.draw(seed, 30, 4, 7) for seed in (5, 5, 6))
+    assert one == again != other
+    assert sum(b.at < a.at + a.lasts for a, b in zip(one, one[1:])) > len(one) / 2
+
+
+def test_a_log_that_a_kill_left_half_written_is_read(tmp_path):
+    EventLog(tmp_path / "e.events", "e").note(Kind.SENT, request="a")
+    with (tmp_path / "e.events").open("ab") as out:
+        out.write(b'{"at": 3, "ki')
+    assert [event.request for event in read(tmp_path)] == ["a"]
+
+
+def test_a_short_soak_of_real_processes_breaks_no_rule(tmp_path):
+    command = [sys.executable, "-m", "aniserudder", "soak", "--seed", "45", "--seconds", "6", "--keep", str(tmp_path / "kept")]
+    ran = subprocess.run(command, capture_output=True, text=True)
+    assert ran.returncode == 0, ran.stdout + ran.stderr
+    assert "seed 45" in ran.stdout and "0 rules broken" in ran.stdout and (tmp_path / "kept" / "seed-45" / "n0.log").exists()
