--- a/aniserudder/soak/driver.py
+++ b/aniserudder/soak/driver.py
@@ -24,6 +24,8 @@
 
 ENGINES = ["r0", "r1", "r2", "w0", "w1", "w2", "m0"]
 NODES, CLIENTS = 4, (3, 16)
+FRONT_NOTICES_S = 0.4     # PROTOCOL: so long after SIGTERM new connections keep coming
+FRONT_TAKES_BACK_S = 1.0  # after a node's start
 SETTLE_S = 7.0  # after the last fault, until all that is owed has come
 WALL_STEPS_S = (3600.0, -3600.0, 7.0, -7.0, 2.5, -2.5)
 SYSTEM_ERRORS = (
@@ -70,6 +72,7 @@
         self._count = 0
         self._restarting: set[str] = set()
         self._busy_engines: set[str] = set()
+        self._in_front = set(self.stage.nodes)
 
     def play(self) -> Result:
         """Runs the soak to its end."""
@@ -130,6 +133,7 @@
             return
         self._restarting.add(node)
         self.stage.end_node(node)
+        self._after(FRONT_NOTICES_S, lambda: self._front(node, False))
         self._after(TERM_GRACE_S, lambda: self._restart(node))
 
     def _node_kill(self, planned: Planned, node: str, engine: str) -> None:
@@ -143,8 +147,16 @@
         def start() -> None:
             self.stage.start_node(node)
             self._restarting.discard(node)
+            self._after(FRONT_TAKES_BACK_S, lambda: self._front(node, node not in self._restarting))
         self._after(0.3, start)
 
+    def _front(self, node: str, takes: bool) -> None:
+        """Clients' new connections go to the nodes that the front knows of."""
+        self._in_front = (self._in_front | {node}) if takes else (self._in_front - {node})
+        for name, helper in self.stage.helpers.items():
+            if name.startswith("clients"):
+                helper.tell(nodes=sorted(self._in_front))
+
     def _node_pause(self, planned: Planned, node: str, engine: str) -> None:
         if node in self.stage.processes:
             self.stage.pause(node, planned.draw * 0.6)
--- a/aniserudder/standins/disk.py
+++ b/aniserudder/standins/disk.py
@@ -13,12 +13,13 @@
 
 import errno
 import os
+import signal
 import sqlite3
 import struct
 import sys
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from random import Random
 from typing import Any, BinaryIO, Literal
@@ -29,6 +30,7 @@
 from ..durable import Files, Ground
 
 SECTOR = 512
+ERRNOS = {"full": errno.ENOSPC, "read-only": errno.EROFS, "errors": errno.EIO}
 STUCK_STEP = 0.02  # seconds between looks whether a stuck disk is well again
 _pack, _unpack = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder(tuple[str, str, int, bytes, bytes]).decode
 
@@ -36,7 +38,9 @@
 class Script(msgspec.Struct):
     """What the disk does now."""
     flush_ms: float = 0    # of a flush
-    trouble: Literal["", "full", "read-only", "stuck"] = ""
+    trouble: Literal["", "full", "read-only", "stuck", "errors", "short", "killed"] = ""
+    part: float = 1.0      # of writes and flushes that the trouble befalls
+    seed: int = 1          # of which ones
     journal: str = ""      # where what is not flushed is noted; empty: nothing can be lost
     wall_off_s: float = 0  # by how much the process's wall clock is wrong
     boot: str = ""         # names the time since power was last lost
@@ -50,19 +54,32 @@
         self.path, self._seen = path, 0
         script = self.script = self._now()
         self._lock = threading.Lock()
+        self._draw = Random(script.seed).random
         self._journal = os.open(script.journal, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600) if script.journal else -1
 
     def about_to_write(self) -> None:
         """Waits while the disk is stuck.
 
         Raises:
-            OSError: it is full or read-only.
+            OSError: it is full, read-only or fails.
         """
         while (trouble := self._now().trouble) == "stuck":
             time.sleep(STUCK_STEP)
-        if trouble:
-            number = errno.ENOSPC if trouble == "full" else errno.EROFS
-            raise OSError(number, os.strerror(number))
+        if trouble in ERRNOS and self.strikes():
+            raise OSError(ERRNOS[trouble], os.strerror(ERRNOS[trouble]))
+
+    def strikes(self) -> bool:
+        """Whether the trouble befalls this step."""
+        return self._draw() < self.script.part
+
+    def half(self, write: Callable[[bytes], int], data: bytes) -> int:
+        """A write that ends half way: short, as write(2) may be, or because the process is killed in it."""
+        if self.script.trouble not in ("short", "killed") or not self.strikes():
+            return write(data)
+        done = write(data[:max(1, len(data) // 2)])
+        if self.script.trouble == "killed":
+            os.kill(os.getpid(), signal.SIGKILL)
+        return done
 
     @property
     def wall_off_s(self) -> float:
@@ -100,7 +117,7 @@
         there = self.xFileSize()
         before = super().xRead(min(len(data), there - offset), offset) if offset < there else b""
         self.platter.note("write", self.path, offset, before, bytes(data))
-        super().xWrite(data, offset)
+        self.platter.half(lambda part: super(_File, self).xWrite(part, offset) or len(part), bytes(data))
 
     def xTruncate(self, size: int) -> None:
         self._allowed()
@@ -177,8 +194,9 @@
     def write(self, data: bytes) -> int:
         self.platter.about_to_write()
         self.platter.note("add", self.path, self._size, b"", data)
-        self._size += len(data)
-        return self._out.write(data)
+        done = self.platter.half(self._out.write, data)
+        self._size += done
+        return done
 
     def close(self) -> None:
         self._out.close()
