--- a/aniserudder/soak/engine.py
+++ b/aniserudder/soak/engine.py
@@ -64,9 +64,7 @@
 
     def _asked(self, connection: RequestReader, request: HttpRequest) -> None:
         if request.method == "DELETE":
-            id = request.target.rpartition("/")[2]
-            (self.states / f"{id}.released").write_text(str(time.monotonic()))
-            self._release(id, "released")
+            self._release(request.target.rpartition("/")[2], "released")
             return connection.say(RELEASED)
         if request.method != "POST" or "request-id" not in request.headers or request.target.startswith("/internal"):
             return connection.say(NOT_FOUND)
@@ -144,13 +142,15 @@
             self.log.note(Kind.ATTEMPT_OVER, request=work.request, engine=self.name, text=End.ABANDONED.value)
 
     def _released_since(self, work: Work) -> bool:
-        """Whether a release was taken anywhere after this read had arrived: it stands for what the read would leave, too."""
+        """Whether all was let go after this read had arrived, by a release or by a stream's begin: that stands for what the read would
+        leave, too."""
         try:
             return float((self.states / f"{work.request}.released").read_text() or 0) > work.arrived_at
         except FileNotFoundError:
             return False
 
     def _release(self, request: str, how: str) -> None:
+        (self.states / f"{request}.released").write_text(str(time.monotonic()))
         try:
             (self.states / request).unlink()
         except FileNotFoundError:
