--- a/aniserudder/soak/discovery.py
+++ b/aniserudder/soak/discovery.py
@@ -41,6 +41,8 @@
         self.slow_s = command.get("slow", self.slow_s)
         if "down" in command:
             self.down = command["down"]
+            if self.down:  # a call that comes meanwhile is lost: a watch that falls silent
+                self.muted_until = time.monotonic() + TOLD_S
             if not self.down:
                 for engine in self.changed:
                     self._note(self.members[engine])
