Requests that lay unread, connections that fell silent together: two failing tests, listed

Found by reading deadline and connection paths. Both fail on this commit: 2.999 s told where 2.3 s were left, and a second request lost into a connection that had fallen silent with the first one's.

--- a/tests/test_fault_hunt.py
+++ b/tests/test_fault_hunt.py
@@ -1,6 +1,7 @@
 """Faults found by reading paths for crossings of events: each crossing is made to happen, on real connections."""
 import errno
 import json
+import signal
 
 from aniserudder.eventloop import reactor
 from aniserudder.soak.control import ControlPage, Slot
@@ -180,3 +181,39 @@
         await node.close()
         return told
     assert on_loop(scene, 30) == b"HTTP/1.1 200"
+
+
+def test_a_request_that_lay_unread_tells_what_its_client_has_left(tmp_path):
+    """The node is held up for 0.7 s while a request comes in: its time runs from its last byte, not from when it is read."""
+    async def scene():
+        node = await NodeProcess(Site({"m1": after(0.0, WHOLE)}, services=PATIENT), tmp_path).up()
+        client = await node.site.client(at=node.address)
+        await sleep(0.2)
+        node.process.send_signal(signal.SIGSTOP)
+        client.say(ask("a1", left="3.0"))
+        await sleep(0.7)
+        node.process.send_signal(signal.SIGCONT)
+        await until(lambda: client.data)
+        await node.close()
+        return told_timeout(node.site.engines["m1"].requests[0])
+    assert on_loop(scene) <= 3.0 - 0.7 + 0.15
+
+
+def test_after_a_silent_timeout_no_older_connection_to_that_engine_is_used():
+    """All kept connections to the writer fall silent. One request is lost on the first; the next takes a fresh connection."""
+    async def scene():
+        site = await Site({"m1": after(0.1, WHOLE)}).up()
+        engine = site.engines["m1"]
+        for number in range(3):
+            await site.client(ask(f"a{number}"))
+        await until(lambda: len(engine.requests) == 3 and not site.node.router.flights)
+        await sleep(0.2)
+        for connection in engine.connections:
+            connection.transport.pauseProducing()
+        lost = await site.client(ask("b1", left="0.6"))
+        await until(lambda: lost.data)
+        next_one = await site.client(ask("b2", left="1.0"))
+        await until(lambda: next_one.data)
+        await site.close()
+        return lost.data[:12], next_one.data[:12]
+    assert on_loop(scene) == (b"HTTP/1.1 503", b"HTTP/1.1 200")
