--- a/aniserudder/soak/engine.py
+++ b/aniserudder/soak/engine.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Any
 
+from ..wire.server import data_age
 from .events import End, EventLog, Kind
 from .helper import HttpRequest, RequestReader, listen, reactor, run
 
@@ -70,7 +71,7 @@
             return connection.say(NOT_FOUND)
         id = request.headers["request-id"]
         self.log.note(Kind.ATTEMPT, request=id, engine=self.name, value=float(request.headers["request-timeout"]))
-        work = self.work[connection] = Work(id, connection, time.monotonic())
+        work = self.work[connection] = Work(id, connection, time.monotonic() - data_age(connection.transport.getHandle()))
         if self.draining or len(self.work) > SLOTS:
             self._end(work, End.TURNED_AWAY, TURNED_AWAY)
         elif self.reads_only:
