A node may stay deaf to discovery for good: two failing tests, listed

Found by reading Discovery.answered: the next watch is scheduled after the list is taken and 'ready' is told; if either raises (ENFILE as the log line reads the process's memory), no call ever goes out again. Both tests fail on this commit.

--- a/tests/test_fault_hunt.py
+++ b/tests/test_fault_hunt.py
@@ -4,6 +4,7 @@
 import signal
 
 from aniserudder.eventloop import reactor
+from aniserudder.platform import node as platform_node
 from aniserudder.soak.control import ControlPage, Slot
 from node_process import NodeProcess
 from platform_stand import READ, WHOLE, Party, Site, ask
@@ -217,3 +218,41 @@
         await site.close()
         return lost.data[:12], next_one.data[:12]
     assert on_loop(scene) == (b"HTTP/1.1 503", b"HTTP/1.1 200")
+
+
+def test_a_system_without_a_file_at_the_first_answer_of_discovery_leaves_no_deaf_node(monkeypatch):
+    """ENFILE as the node tells that it is ready (its memory, for the log): the watch was never opened, and drains never heard of."""
+    def no_file(*args, **more):
+        raise OSError(errno.ENFILE, "Too many open files in system")
+
+    async def scene():
+        site = Site({"m1": after(0.0, WHOLE), "m2": after(0.0, WHOLE)})
+        monkeypatch.setattr(platform_node, "open", no_file, raising=False)
+        site.node.start()
+        await until(lambda: site.watches, 4)
+        site.tell(site.listed(site.member("m1", "DRAINING"), complete=False))
+        await until(lambda: not site.node.router.node.engines["m1"].listed, 4)
+        ready = site.node.clients.ready
+        await site.close()
+        return ready
+    assert on_loop(scene)
+
+
+def test_a_list_that_the_router_fails_on_does_not_end_the_watch():
+    async def scene():
+        site = await Site({"m1": after(0.0, WHOLE), "m2": after(0.0, WHOLE)}).up()
+        inner, fails = site.node.router.roster, [True]
+
+        def roster(rows, complete):
+            if fails.pop() if fails else False:
+                raise ZeroDivisionError
+            inner(rows, complete)
+        site.node.router.roster = roster
+        site.tell(site.listed(complete=False))
+        await until(lambda: not fails)
+        site.watches.clear()
+        await until(lambda: site.watches, 6)
+        site.tell(site.listed(site.member("m1", "DRAINING"), complete=False))
+        await until(lambda: not site.node.router.node.engines["m1"].listed, 4)
+        await site.close()
+    on_loop(scene, 30)
