The next call to discovery is scheduled before anything that may fail

Cause: Discovery.answered opened the next watch as its last step. Change: first of all; a list that cannot be taken is asked for anew and logged; resident_kb tells 0 where no file is left; the loop's own look schedules its next turn first. Class: a chain of calls that ends where one raises.

--- a/aniserudder/platform/discovery.py
+++ b/aniserudder/platform/discovery.py
@@ -204,15 +204,22 @@
         self._drop()
         self._tries = 0
         self._expect(call)
-        self.take(news)
+        # Before anything that may fail: a node without a next call would never hear of a change again.
+        self._resting = connection
+        self._next = self.reactor.callLater(0, self._watch)  # not before the answer's bytes have all been read
+        try:
+            self.take(news)
+        except Exception as failure:  # changes build on one another: the whole list is asked for
+            self.log("list not taken", level="error", reason=f"{type(failure).__name__}: {failure}")
+            self._drop()
+            self._next = self.reactor.callLater(self.again, self._locate)
+            return
         if self.away:
             self.away = False
             self.log("discovery is back", level="info", reason=f"revision {self.revision}")
         first, self.on_first = self.on_first, None
         if first:
             first()
-        self._resting = connection
-        self._next = self.reactor.callLater(0, self._watch)  # not before the answer's bytes have all been read
 
     def _expect(self, call: _Call) -> None:
         """How long the next answer may take, after one that came."""
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -181,11 +181,11 @@
             self.log("ready", level="info", reason=f"{len(self.discovery.listed)} engines, {resident_kb() // 1024} MB")
 
     def _late(self, due: float) -> None:
+        self.reactor.callLater(LATE_EVERY_S, self._late, self.reactor.seconds() + LATE_EVERY_S)
         late = self.reactor.seconds() - due
         if self.discovery.start_times.sample():
             self.log("wall clock stepped", level="warning", reason=f"{self.discovery.start_times.steps} offsets seen so far")
         self.latest = max(self.latest, late)
-        self.reactor.callLater(LATE_EVERY_S, self._late, self.reactor.seconds() + LATE_EVERY_S)
 
     def _figures(self) -> None:
         """What the node holds, and what it believes its engines hold of it."""
@@ -218,9 +218,12 @@
 
 
 def resident_kb() -> int:
-    """Memory that the process holds at present, in KiB."""
-    with open("/proc/self/statm", "rb") as told:
-        return int(told.read().split()[1]) * resource.getpagesize() // 1024
+    """Memory that the process holds at present, in KiB; 0 where the system has no file left to tell it by."""
+    try:
+        with open("/proc/self/statm", "rb") as told:
+            return int(told.read().split()[1]) * resource.getpagesize() // 1024
+    except OSError:
+        return 0
 
 
 def bounded(log: Callable[..., None], seconds: Callable[[], float]) -> Callable[..., None]:
