--- /dev/null
+++ b/aniserudder/platform/attempt_exchange.py
@@ -0,0 +1,158 @@
+"""One schedule attempt on its connection to an engine: its answer read event by event, and what came of it.
+
+What each outcome means stands in ``platform/engines.py``.
+"""
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet.interfaces import IDelayedCall
+
+from ..core.ports import Attempt, Usage
+from ..decisions.interface import Outcome
+from ..wire.client import ClientConnection
+
+if TYPE_CHECKING:
+    from .engines import PlatformEngines
+
+SILENCE_S = 4.5          # PROTOCOL: a client is kept waiting less than 5 s after a running engine's last event
+EVENT_MOST = 65_536      # bytes of one event, and of one small answer
+BREAK, DATA, DONE = b"\n\n", b"data: ", b"data: [DONE]"
+WITHOUT_EFFECT = frozenset({Outcome.READ, Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT})
+
+
+class AttemptExchange:
+    """One schedule attempt on its connection (``wire.client.Exchange``)."""
+
+    __slots__ = ("engines", "attempt", "connection", "status", "rest", "whole", "usage", "over", "heard", "watch",
+                 "began", "passed", "sent_at")
+
+    def __init__(self, engines: PlatformEngines, attempt: Attempt) -> None:
+        self.engines, self.attempt = engines, attempt
+        self.connection: ClientConnection | None = None
+        self.status, self.rest, self.whole, self.usage, self.over = 0, b"", False, Usage(), False
+        self.heard = self.began = self.sent_at = 0.0
+        self.passed = 0            # events passed on
+        self.watch: IDelayedCall | None = None
+
+    @property
+    def arrived(self) -> bool:
+        """Whether its bytes have surely reached an engine: on a connection made for them, or by an answer."""
+        return self.connection is not None and (self.connection.rested < 0 or self.status != 0)
+
+    def head(self, status: int) -> None:
+        self.status = status
+        self.engines.fared(self.connection, True)
+
+    def body(self, data: bytes) -> None:
+        if self.over:
+            return
+        self.rest += data
+        if self.status == 200 and not self.attempt.reads:
+            self._events()
+        if len(self.rest) > EVENT_MOST and not self.over:
+            self.finish(Outcome.ERROR, "an event or an answer is too long", drop=True)
+
+    def _events(self) -> None:
+        """Passes on what came of whole events; anything else is none of an engine's making."""
+        end = self.rest.rfind(BREAK) + len(BREAK)
+        if end < len(BREAK):
+            if not self.rest.startswith(DATA[:len(self.rest)]):
+                self.finish(Outcome.ERROR, "what came is no event", drop=True)
+            return
+        came, self.rest = self.rest[:end], self.rest[end:]
+        good = 0
+        for event in came[:-len(BREAK)].split(BREAK):
+            if self.whole or not event.startswith(DATA):
+                break
+            good += len(event) + len(BREAK)
+            if event == DONE:
+                self.whole = True
+            elif b'"usage"' in event:
+                self.usage = usage_of(event) or self.usage
+        if good:
+            self.heard = self.engines.reactor.seconds()
+            self.passed += came.count(BREAK, 0, good)
+            if self.watch is None:
+                self.began = self.heard
+                self.engines.started(self.attempt)
+                self._watch(SILENCE_S)
+            self.attempt.text(came[:good])
+        if good < len(came) and not self.over:
+            self.finish(Outcome.ERROR, "what came is no event", drop=True)
+
+    def complete(self) -> None:
+        never = self.connection.headers.get(b"not-started") == b"1"
+        match self.status:
+            case 200 if not self.attempt.reads:
+                good = self.whole and not self.rest
+                self.finish(Outcome.GENERATED if good else Outcome.CUT, "" if good else "the stream is not whole")
+            case 202 if self.attempt.reads:
+                self.usage = Usage(kept=kept_of(self.rest))
+                self.finish(Outcome.READ)
+            case 503 | 504 if never:
+                self.finish(Outcome.FULL)
+            case 410 if never:
+                self.finish(Outcome.NO_STATE)
+            case _:
+                self.finish(Outcome.ERROR, f"status {self.status}")
+
+    def lost(self, reason: str, malformed: bool) -> None:
+        if malformed:
+            self.finish(Outcome.ERROR, reason)
+        elif not self.connection.flushed and not self.status:
+            self.finish(Outcome.NO_ROUTE, reason)
+        else:
+            rested = self.connection.rested
+            if not self.status:
+                self.engines.fared(self.connection, False)
+            how = f"kept idle for {1000 * rested:.0f} ms" if rested >= 0 else "fresh"
+            self.finish(Outcome.CUT, f"{reason}; the connection was {how}")
+
+    def finish(self, outcome: Outcome, reason: str = "", drop: bool = False) -> None:
+        if self.over:
+            return
+        self.close(drop)
+        if outcome not in WITHOUT_EFFECT:
+            self.engines.release_after_read(self)
+        self.engines.track_held(self, outcome)
+        if self.passed and outcome is not Outcome.GENERATED:
+            reason += f"; {self.passed} events in {1000 * (self.engines.reactor.seconds() - self.began):.0f} ms"
+        self.attempt.ended(outcome, self.usage, None, reason)
+
+    def close(self, drop: bool) -> None:
+        """Nothing more is told of this attempt."""
+        self.over = True
+        self.engines.runs.pop(self.attempt.seq_id, None)
+        if self.watch and self.watch.active():
+            self.watch.cancel()
+        if drop and self.connection:
+            self.connection.drop()
+
+    def _watch(self, after: float) -> None:
+        self.watch = self.engines.reactor.callLater(after, self._silent)
+
+    def _silent(self) -> None:
+        left = self.heard + SILENCE_S - self.engines.reactor.seconds()
+        if left > 0.001:
+            return self._watch(left)
+        self.finish(Outcome.CUT, "the stream fell silent", drop=True)
+
+
+def usage_of(event: bytes) -> Usage | None:
+    """Tokens that an event tells of; None where it tells of none."""
+    try:
+        told = msgspec.json.decode(event[len(DATA):]).get("usage")
+        kept = (told.get("prompt_tokens_details") or {}).get("cached_tokens") or 0
+        return Usage(int(told.get("prompt_tokens") or 0), int(kept), int(told.get("completion_tokens") or 0))
+    except (msgspec.DecodeError, AttributeError, TypeError, ValueError):
+        return None  # an event of text that happens to hold the word
+
+
+def kept_of(body: bytes) -> int:
+    """Prompt tokens that a reader found kept."""
+    try:
+        return int(msgspec.json.decode(body)["cached_tokens"])
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+        return 0
--- /dev/null
+++ b/aniserudder/platform/held_state.py
@@ -0,0 +1,55 @@
+"""What is held for a request at engines, and how it is let go: the clock of a read's state, and a release until it is delivered."""
+from __future__ import annotations
+
+from twisted.internet.interfaces import IDelayedCall
+
+RELEASE_SLACK_S = 0.3    # STANDING: what is held has 300 ms more than the settings say
+UNPROVEN_S = 0.2         # of that slack, which a send over a kept connection has to show that it arrived
+RELEASES_IN_SLACK = 4    # tries of letting go, each at another engine, that fit into it
+RELEASE_TRIES = 40       # then a stopped node's rule frees it anyway
+
+
+class HeldState:
+    """A read's state that waits for a writer, and when it is let go.
+
+    The timer stops while an attempt is out that has arrived. It runs on through connections that do not come up, and while nothing
+    shows that a send arrived: a kept connection may have fallen silent without an error.
+    """
+
+    __slots__ = ("engine", "timer")
+
+    def __init__(self, engine: str, timer: IDelayedCall) -> None:
+        self.engine, self.timer = engine, timer
+
+    @property
+    def runs(self) -> bool:
+        return self.timer.active()
+
+    def sent(self, arrived: bool) -> None:
+        """Bytes of an attempt went out; what has not shown that it arrived gets a part of the slack to do so."""
+        if arrived:
+            self.stop()
+        elif self.timer.active():
+            self.timer.delay(UNPROVEN_S)
+
+    def stop(self) -> None:
+        if self.timer.active():
+            self.timer.cancel()
+
+
+class Release:
+    """Letting go of all that is held for one sequence, until an engine has heard of it or a stream has begun.
+
+    ``asked_for`` counts how often it was asked for: an answer to a call that went out before the last time proves nothing
+    of what has come to be held since.
+    """
+
+    __slots__ = ("seq_id", "engine", "tries", "timer", "asked_for", "tried_at")
+
+    def __init__(self, seq_id: str, engine: str) -> None:
+        self.seq_id, self.engine, self.tries, self.asked_for, self.tried_at = seq_id, engine, 0, 0, -1.0
+        self.timer: IDelayedCall | None = None
+
+    def cancel(self) -> None:
+        if self.timer and self.timer.active():
+            self.timer.cancel()
--- a/aniserudder/soak/driver.py
+++ b/aniserudder/soak/driver.py
@@ -19,7 +19,7 @@
 from .control import Slot
 from .events import Event, Kind
 from .oracle import Breach, Oracle, Rule, Terms
-from .plan import Fault, Planned
+from .plan import Planned
 from .stage import DRAIN_GRACE_S, LET_GO_S, TERM_GRACE_S, Stage
 
 ENGINES = ["r0", "r1", "r2", "w0", "w1", "w2", "m0"]
--- a/aniserudder/soak/oracle.py
+++ b/aniserudder/soak/oracle.py
@@ -248,23 +248,36 @@
                 self._break(Rule.DEADLINE, attempt.arrived_at, id, f"{attempt.engine} was told {attempt.told:.3f} s, {left:.3f} s were left")
 
     def _once(self, id: str, request: _Request) -> None:
-        ran: Attempt | None = None
         attempts = sorted(request.attempts, key=lambda attempt: attempt.arrived_at)
+        ran: Attempt | None = None
         for number, attempt in enumerate(attempts):
-            if ran and request.kind in self.terms.once:
-                self._break(Rule.ONCE, attempt.arrived_at, id, f"sent to {attempt.engine} though {ran.engine} may have run it ({ran.end or 'out'})")
-            elif ran and request.kind in self.terms.windows:
-                late = attempt.arrived_at - ran.arrived_at - self.terms.windows[request.kind] - RULE_SLACK_S - SCHEDULING_S
-                late -= self.links_down.within(request.node, ran.arrived_at, attempt.arrived_at) + self.paused.within(request.node, ran.arrived_at, attempt.arrived_at)
-                if late > 0:
-                    self._break(Rule.ONCE, attempt.arrived_at, id, f"repeated {late:.3f} s behind its window")
+            if ran:
+                self._repeat(id, request, ran, attempt)
             for earlier in attempts[:number]:
-                quiet = self.links_down.within(request.node, earlier.arrived_at, attempt.arrived_at) or self.engine_paused.within(earlier.engine, earlier.arrived_at, attempt.arrived_at)
-                if earlier.over_at > attempt.arrived_at + SCHEDULING_S and not quiet and earlier.end != End.SERVED.value:
-                    self._break(Rule.ONCE, attempt.arrived_at, id, f"sent to {attempt.engine} while {earlier.engine} still had it")
+                self._beside(id, request, earlier, attempt)
             if attempt.end not in NEVER_RAN and not self._is_reader(attempt):
                 ran = ran or attempt
 
+    def _repeat(self, id: str, request: _Request, ran: Attempt, attempt: Attempt) -> None:
+        """An attempt behind one that may have run."""
+        if request.kind in self.terms.once:
+            self._break(Rule.ONCE, attempt.arrived_at, id, f"sent to {attempt.engine} though {ran.engine} may have run it ({ran.end or 'out'})")
+        elif request.kind in self.terms.windows:
+            late = attempt.arrived_at - ran.arrived_at - self.terms.windows[request.kind] - RULE_SLACK_S - SCHEDULING_S
+            late -= self.links_down.within(request.node, ran.arrived_at, attempt.arrived_at)
+            late -= self.paused.within(request.node, ran.arrived_at, attempt.arrived_at)
+            if late > 0:
+                self._break(Rule.ONCE, attempt.arrived_at, id, f"repeated {late:.3f} s behind its window")
+
+    def _beside(self, id: str, request: _Request, earlier: Attempt, attempt: Attempt) -> None:
+        """Two attempts whose engines had the request at the same time. A machine that was stopped or cut off hears late of an end."""
+        if self.links_down.within(request.node, earlier.arrived_at, attempt.arrived_at):
+            return
+        if self.engine_paused.within(earlier.engine, earlier.arrived_at, attempt.arrived_at):
+            return
+        if earlier.over_at > attempt.arrived_at + SCHEDULING_S and earlier.end != End.SERVED.value:
+            self._break(Rule.ONCE, attempt.arrived_at, id, f"sent to {attempt.engine} while {earlier.engine} still had it")
+
     @staticmethod
     def _is_reader(attempt: Attempt) -> bool:
         return attempt.engine.startswith("r")
--- a/aniserudder/wire/connections.py
+++ b/aniserudder/wire/connections.py
@@ -13,6 +13,7 @@
 
 from .client import ClientConnection
 
+
 class Collect:
     """A small exchange whose whole answer is wanted. Status 0: there was none.
 
@@ -38,6 +39,7 @@
         self.done(0, b"")
 
 
+
 NO_DESCRIPTOR = "no descriptor is left"
 LOCAL_TROUBLE = "this system cannot connect"
 EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE})
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,10 +12,10 @@
 from twisted.internet.task import Clock
 
 from aniserudder import logs
-from aniserudder.platform import config, discovery, engines
+from aniserudder.platform import attempt_exchange, config, discovery, engines
 from aniserudder.platform.node import PlatformNode, bounded
 from aniserudder.wire.connections import IdleAges
-from platform_stand import EVENT, FULL, HEAD, LAST, READ, SETTINGS, STREAM, WHOLE, Site, ask, body_of, chunked
+from platform_stand import EVENT, FULL, HEAD, READ, SETTINGS, STREAM, WHOLE, Site, ask, body_of, chunked
 from stand import on_loop, sleep, until
 
 
@@ -121,7 +121,7 @@
 
 
 def test_a_silent_stream_does_not_hold_its_client(monkeypatch):
-    monkeypatch.setattr(engines, "SILENCE_S", 0.3)
+    monkeypatch.setattr(attempt_exchange, "SILENCE_S", 0.3)
     _, (answer,) = play({"m1": answers(HEAD + chunked(EVENT % b"one"))}, [ask(kind="send")])
     assert EVENT % b"one" in answer and not answer.endswith(b"0\r\n\r\n")
 
