--- a/aniserudder/platform/discovery.py
+++ b/aniserudder/platform/discovery.py
@@ -25,7 +25,7 @@
 TOLD_S = 6.0          # a change counts as told so long after discovery had it, whatever fell silent meanwhile
 HOLD_MS = 2_000       # that a watch waits for news; PROTOCOL allows 60,000
 ANSWER_S = 0.8        # beyond the hold; the agent stands on the same machine and answers at once, or not at all
-PATIENT_S, PATIENT_EVERY = 5.0, 4  # one try of so many waits for so long: the agent may be slow, and not gone
+PATIENT_S, PATIENT_EVERY = 5.0, 4  # one try at a time, of so many, waits for so long: the agent may be slow, and not gone
 WATCH_SLOWER_S = 1.9  # that a watch of a slow agent is given beyond its hold; with a list after it this fits into TOLD_S
 SLOWER, QUICKER = 1.5, 0.8  # what is expected of the next answer: times what a slow one took; and how that is forgotten
 TRIES_IN_GRACE = 4    # while nothing answers: so many tries in the time in which a drain has to be heeded
@@ -168,7 +168,8 @@
             return
         self._next = self.reactor.callLater(self.again, self._locate)
         self._tries += 1
-        call = _Call(self, ANSWER_S if self._tries % PATIENT_EVERY else PATIENT_S)
+        patient = self._tries % PATIENT_EVERY == 0 and not any(call.patience_s == PATIENT_S for call in self._calls)
+        call = _Call(self, PATIENT_S if patient else ANSWER_S)
         self._calls[call] = None
         host, port = self.address
         factory = Factory.forProtocol(lambda: ClientConnection(f"{host}:{port}", lambda c: None, lambda c: None))
@@ -251,11 +252,11 @@
 class _Call:
     """One call and its answer (``wire.client.Exchange``), bounded in time."""
 
-    __slots__ = ("owner", "connection", "status", "data", "began", "hold_s", "due", "timer", "over")
+    __slots__ = ("owner", "connection", "status", "data", "began", "patience_s", "hold_s", "due", "timer", "over")
 
     def __init__(self, owner: Discovery, patience: float, hold_s: float = 0.0) -> None:
         self.owner, self.status, self.data, self.over = owner, 0, bytearray(), False
-        self.began, self.hold_s = owner.reactor.seconds(), hold_s
+        self.began, self.patience_s, self.hold_s = owner.reactor.seconds(), patience, hold_s
         self.connection: ClientConnection | None = None
         self.due = owner.reactor.seconds() + patience
         self.timer = owner.reactor.callLater(patience, self._silent)
--- a/aniserudder/wire/connections.py
+++ b/aniserudder/wire/connections.py
@@ -43,8 +43,8 @@
 NO_DESCRIPTOR = "no descriptor is left"
 LOCAL_TROUBLE = "this system cannot connect"
 EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE})
-# Of this system, whatever the server does (connect(2), socket(2)): no port, no memory.
-LOCAL_ERRORS = frozenset({errno.EADDRNOTAVAIL, errno.EAGAIN, errno.ENOBUFS, errno.ENOMEM})
+# Of this system, whatever the server does (connect(2), socket(2)): no port, no memory, a signal.
+LOCAL_ERRORS = frozenset({errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 NETWORK_PROOF_S = 1.0  # a connection made to another server within this time shows that this system's network is there
 AGES = 16              # octaves of milliseconds that a connection may have been idle
 HALF_LIFE_S = 20.0     # in which what was seen of an age counts half
