--- a/tests/test_fault_hunt.py
+++ b/tests/test_fault_hunt.py
@@ -3,8 +3,11 @@
 import json
 import signal
 
+from twisted.internet.task import Clock
+
 from aniserudder.eventloop import reactor
 from aniserudder.platform import node as platform_node
+from aniserudder.platform.held_state import RELEASE_SLACK_S, RELEASES_IN_SLACK, HeldState
 from aniserudder.soak.control import ControlPage, Slot
 from node_process import NodeProcess
 from platform_stand import READ, WHOLE, Party, Site, ask
@@ -272,3 +275,15 @@
         await until(lambda: not site.node.router.node.engines["m1"].listed, 4)
         await site.close()
     on_loop(scene, 30)
+
+
+def test_sends_that_break_one_after_the_other_do_not_add_up_their_time_to_arrive():
+    """Two writers' kept connections take the bytes and break, the third falls silent: each had 0.2 s more, in place of all together."""
+    clock, fired = Clock(), []
+    held = HeldState("r1", clock.callLater(0.3, lambda: fired.append(clock.seconds())))
+    for _ in range(3):
+        clock.advance(0.05)
+        held.sent(False)
+    clock.pump([0.05] * 20)
+    [at] = fired
+    assert at <= 0.3 + RELEASE_SLACK_S - 2 * RELEASE_SLACK_S / RELEASES_IN_SLACK + 0.05
