Sends that have not shown their arrival share one part of the slack

Cause: HeldState.sent delayed the timer for each send. Change: once, and by 0.15 s, which leaves two more tries of letting go within the slack.

--- a/aniserudder/platform/held_state.py
+++ b/aniserudder/platform/held_state.py
@@ -4,7 +4,7 @@
 from twisted.internet.interfaces import IDelayedCall
 
 RELEASE_SLACK_S = 0.3    # STANDING: what is held has 300 ms more than the settings say
-UNPROVEN_S = 0.2         # of that slack, which a send over a kept connection has to show that it arrived
+UNPROVEN_S = 0.15        # of that slack, which a send over a kept connection has to show that it arrived
 RELEASES_IN_SLACK = 4    # tries of letting go, each at another engine, that fit into it
 RELEASE_TRIES = 40       # then a stopped node's rule frees it anyway
 
@@ -16,20 +16,21 @@
     shows that a send arrived: a kept connection may have fallen silent without an error.
     """
 
-    __slots__ = ("engine", "timer")
+    __slots__ = ("engine", "timer", "_delayed")
 
     def __init__(self, engine: str, timer: IDelayedCall) -> None:
-        self.engine, self.timer = engine, timer
+        self.engine, self.timer, self._delayed = engine, timer, False
 
     @property
     def runs(self) -> bool:
         return self.timer.active()
 
     def sent(self, arrived: bool) -> None:
-        """Bytes of an attempt went out; what has not shown that it arrived gets a part of the slack to do so."""
+        """Bytes of an attempt went out; what has not shown that it arrived gets a part of the slack to do so, once for all attempts."""
         if arrived:
             self.stop()
-        elif self.timer.active():
+        elif self.timer.active() and not self._delayed:
+            self._delayed = True
             self.timer.delay(UNPROVEN_S)
 
     def stop(self) -> None:
