A ledger that refuses everything after one failed commit: a failing test, listed

Cause: Store.together sets the end of the log back to what it was before the transaction, while the commit was made and only told as failed (the stand-in disk fails the checkpoint behind it).

--- a/tests/test_ledger_disk_faults.py
+++ b/tests/test_ledger_disk_faults.py
@@ -1,5 +1,6 @@
 """A ledger process whose disk fails for a while, writes half and dies in the middle of a write: what it acknowledged is still there."""
 import json
+import sqlite3
 import subprocess
 import sys
 import time
@@ -9,7 +10,7 @@
 import pytest
 
 from aniserudder.ledger.entries import Taken, decode, encode
-from aniserudder.ledger.store import Store
+from aniserudder.ledger.store import LedgerFull, Store
 from aniserudder.standins.disk import Script, play
 from aniserudder.wire.text import free_port
 
@@ -89,3 +90,33 @@
     assert acknowledged > 3 and refused > 0 and upto == acknowledged + 1
     assert all(decode(kept[n]) == entry(n) for n in range(1, acknowledged + 1))
     store.verify()
+
+
+class CommitsAndFails:
+    """A database that tells an error of a commit which was made: seen where a checkpoint behind the commit failed."""
+
+    def __init__(self, inner):
+        self._inner, self.failing = inner, False
+
+    def execute(self, sql, *values):
+        done = self._inner.execute(sql, *values)
+        if self.failing and sql == "COMMIT":
+            raise sqlite3.OperationalError("disk I/O error")
+        return done
+
+    def __getattr__(self, name):
+        return getattr(self._inner, name)
+
+
+def test_a_commit_that_was_made_and_told_as_failed_does_not_stop_the_ledger(tmp_path):
+    """Seen in the whole suite beside plays, seeds 2 and 3 above: every later write failed with 'UNIQUE constraint failed: log.no'."""
+    store = Store(tmp_path / "ledger")
+    store._db = CommitsAndFails(store._db)
+    store.append([entry(1)])
+    store._db.failing = True
+    with pytest.raises(LedgerFull):
+        store.append([entry(2)])
+    store._db.failing = False
+    assert store.append([entry(3)]) == 3 == store.last
+    store.verify()
+    assert [one.seq for _, one in store.rows()] == ["s1", "s2", "s3"]
