After an error the ledger takes the end of its log from the file

Cause: Store.together (and compact) kept the end of the log in memory as it was before a transaction that failed, though its commit may have been made; every later write then met a number that was taken, until the process was started anew. Change: after any error the end is read from the file, at the next transaction at the latest. Class: a copy in memory believed over the file after an error.

--- a/aniserudder/ledger/store.py
+++ b/aniserudder/ledger/store.py
@@ -10,7 +10,7 @@
 import os
 import sqlite3
 from collections.abc import Callable, Iterable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -116,8 +116,8 @@
             raise LedgerBroken(f"{path}: {problem}") from None
         if found != FORM:
             raise LedgerBroken(f"{path}: form {found!r}, this program reads {FORM!r}")
-        self._last = self._db.execute("SELECT coalesce(max(no), 0) FROM log").fetchone()[0]
-        self._sum = self._sum_before(self._last + 1)
+        self._last, self._sum, self._end_unknown = 0, "", True
+        self._read_end()
         self._claims = bool(self._db.execute("SELECT EXISTS (SELECT 1 FROM claims)").fetchone()[0])
         self._asked = 0
         self.verify(self._last - TAIL)
@@ -196,7 +196,9 @@
         if self._deep:
             yield self._db
             return
-        before, self._deep = (self._last, self._sum), True
+        if self._end_unknown:
+            self._read_end()
+        self._deep = True
         try:
             if flushed and not self._power:
                 self._db.execute("PRAGMA synchronous=FULL")
@@ -204,12 +206,14 @@
             yield self._db
             self._db.execute("COMMIT")
         except BaseException as problem:
-            self._last, self._sum = before
+            self._end_unknown = True  # a commit may be told as failed and have been made: the file says what holds
             try:
                 if self._db.in_transaction:
                     self._db.execute("ROLLBACK")
             except sqlite3.Error:
                 pass  # the first problem is the one to tell; an open transaction fails the next one too
+            with suppress(LedgerFull):
+                self._read_end()
             if isinstance(problem, sqlite3.Error):
                 raise LedgerFull(str(problem)) from None
             raise
@@ -218,6 +222,19 @@
             if flushed and not self._power and not self._db.in_transaction:
                 self._db.execute("PRAGMA synchronous=NORMAL")
 
+    def _read_end(self) -> None:
+        """Takes the end of the log from the file.
+
+        Raises:
+            LedgerFull: it cannot be read now; the next transaction tries again.
+        """
+        try:
+            self._last = self._db.execute("SELECT coalesce(max(no), 0) FROM log").fetchone()[0]
+            self._sum = self._sum_before(self._last + 1)
+        except sqlite3.Error as problem:
+            raise LedgerFull(str(problem)) from None
+        self._end_unknown = False
+
     def group(self, works: list[Callable[[Store], Any]]) -> list[tuple[Any, Exception | None]]:
         """Carries out what several asked for in one transaction: what cannot be used is told of that one alone, what the
         disk refuses is told to all. A ``durable.Lane`` runs it. One work that is ``flushed`` has all of them flushed."""
@@ -335,6 +352,7 @@
                 db.execute("INSERT OR REPLACE INTO shipped VALUES (?, ?)", (node, last))
             db.execute("COMMIT")
         except sqlite3.Error as problem:
+            self._end_unknown = True
             if db.in_transaction:
                 db.execute("ROLLBACK")
             raise LedgerFull(str(problem)) from None
