Releases are repeated behind given-up attempts until their engines can leave nothing more

Cause: `PlatformEngines.release_after_read` asked for one release and `_try_release` forgot the request at the first 204. A release frees what is held when an engine takes it; an attempt that was given up goes on until its engine hears of that, runs again, or has done. Lines at fault: `call_off`, `AttemptExchange.finish`, `track_held` (a later read's end also cancelled a release under way), `_release` (waited for the end of a stream that needs nothing that is held). Change: platform/releases.py (out of engines.py). Every sent attempt that ends here before its engine said how is followed: reads until 2 s behind the time that their engine was told, writers that wait for a state for 2 s, longer where the engine is not heard, 30 s at most; meanwhile a release each let-go time, but while an attempt needs what is held. A stopping node stays for that, 3.7 s at most. New lines and counts: `attempt followed`, `repeated`, `given-up attempts followed`, `not followed`.

--- a/aniserudder/core/invariants.py
+++ b/aniserudder/core/invariants.py
@@ -55,6 +55,14 @@
     left: bool = False
 
 
+@dataclass(slots=True)
+class _MayBeHeld:
+    """What attempts that were given up may leave; microseconds. ``since``: the last moment at which surely nothing was held; None while an
+    attempt of its request is out."""
+    since: int | None
+    until: int
+
+
 class InvariantMonitor:
     """Follows the requests of one router.
 
@@ -67,6 +75,7 @@
         self._log = log
         self._slow_start = SlowStartMonitor(settings) if settings else None
         self._held: dict[str, int | None] = {}  # by request: since when its state waits; None: an attempt for it has surely arrived
+        self._may_be_held: dict[str, _MayBeHeld] = {}  # by request
         self._requests: dict[str, _Tracked] = {}
         self._withdrawn: OrderedDict[str, None] = OrderedDict()
         self._known: set[str] = set()
@@ -104,6 +113,8 @@
 
     def sent(self, request: str, ordinal: int, engine: str, told_us: int, now: int) -> None:
         """An attempt's bytes are being written; ``told_us`` is the time that its engine is told."""
+        if request in self._may_be_held:
+            self._may_be_held[request].since = None
         tracked = self._requests.get(request)
         if tracked is None:
             return self._violated(Violation.SENT_AFTER_ANSWER, request, engine)
@@ -133,14 +144,16 @@
         elif tracked.effect is Effect.TOKENED and now - tracked.may_have_run_at >= tracked.window:
             self._violated(Violation.REPEATED_OUTSIDE_WINDOW, request, engine)
 
-    def started(self, request: str) -> None:
+    def started(self, request: str, now: int = 0) -> None:
         """The first event of its answer was passed on: its deadline no longer runs."""
+        self._nothing_is_out(request, now)
         tracked = self._requests.get(request)
         if tracked:
             tracked.streaming = True
 
-    def ended(self, request: str, ordinal: int, outcome: Outcome, reads: bool) -> None:
+    def ended(self, request: str, ordinal: int, outcome: Outcome, reads: bool, now: int = 0) -> None:
         """An attempt is over, whether or not it was ever sent."""
+        self._nothing_is_out(request, now)
         tracked = self._requests.get(request)
         if tracked is None:
             return
@@ -197,12 +210,43 @@
         if since is not None and at - since > limit + HELD_SLACK_US:
             self._violated(Violation.HELD_TOO_LONG, request, f"{(at - since) // 1000} ms")
 
+    def state_may_come(self, request: str, now: int, until: int) -> None:
+        """An attempt that was sent is given up; its engine may go on with it until then."""
+        known = self._may_be_held.setdefault(request, _MayBeHeld(now, until))
+        known.until = max(known.until, until)
+
+    def _nothing_is_out(self, request: str, now: int) -> None:
+        known = self._may_be_held.get(request)
+        if known and known.since is None:
+            known.since = now
+
+    def released(self, request: str, asked_at: int, limit: int) -> None:
+        """An engine has confirmed a release that was asked for then. It frees nothing of what comes to be held behind it."""
+        self.state_gone(request, asked_at, limit)
+        known = self._may_be_held.get(request)
+        if known is None or known.since is None:
+            return
+        self._check_gap(request, known, asked_at, limit)
+        known.since = max(known.since, asked_at)
+        if asked_at >= known.until:
+            del self._may_be_held[request]
+
+    def _check_gap(self, request: str, known: _MayBeHeld, at: int, limit: int) -> bool:
+        gap = min(at, known.until) - known.since
+        if gap > limit + HELD_SLACK_US:
+            self._violated(Violation.HELD_TOO_LONG, request, f"{gap // 1000} ms without a release behind an attempt that was given up")
+            return True
+        return False
+
     def look_for_held(self, now: int, limit: int) -> None:
         """Counts states that wait far beyond the settings' time with nothing out for them: no release of them was ever confirmed."""
         for request, since in list(self._held.items()):
             if since is not None and now - since > limit + HELD_SLACK_US + HELD_UNCONFIRMED_US:
                 del self._held[request]
                 self._violated(Violation.HELD_TOO_LONG, request, f"{(now - since) // 1000} ms, and not released yet")
+        for request, known in list(self._may_be_held.items()):
+            if known.since is not None and self._check_gap(request, known, now - HELD_UNCONFIRMED_US, limit):
+                del self._may_be_held[request]
 
     def state_unknown(self, request: str) -> None:
         """Whether it is still held cannot be told any more."""
--- a/aniserudder/core/router.py
+++ b/aniserudder/core/router.py
@@ -288,8 +288,8 @@
                 self._plan_look()
         if not attempt.started:
             attempt.started = True
-            self.invariants.started(flight.id)
             now = self.now()
+            self.invariants.started(flight.id, now)
             self.invariants.taken_up(attempt.engine, now)
             self._cancel(attempt)
             for other in flight.read:  # the writer has fetched its state; what is held besides nobody will take
@@ -348,10 +348,10 @@
             except Misfit as wrong:
                 return self._misfit(attempt, str(wrong))
         attempt.over, flight.out = True, None
-        self.invariants.ended(flight.id, attempt.ordinal, outcome, attempt.reads)
+        now = self.now()
+        self.invariants.ended(flight.id, attempt.ordinal, outcome, attempt.reads, now)
         self.counts.outcomes[outcome] += 1
         self._cancel(attempt)
-        now = self.now()
         if outcome is Outcome.READ:
             self.invariants.taken_up(attempt.engine, now)
             flight.held = Held(attempt.engine, attempt.ordinal, state)
--- a/aniserudder/platform/attempt_exchange.py
+++ b/aniserudder/platform/attempt_exchange.py
@@ -30,20 +30,21 @@
 
     def track_held(self, run: AttemptExchange, outcome: Outcome) -> None: ...
 
-    def release_after_read(self, run: AttemptExchange) -> None: ...
+    def given_up(self, run: AttemptExchange) -> None: ...
 
 
 class AttemptExchange:
     """One schedule attempt on its connection (``wire.client.Exchange``)."""
 
     __slots__ = ("engines", "attempt", "connection", "status", "rest", "whole", "usage", "over", "heard", "watch",
-                 "began", "passed", "sent_at")
+                 "began", "passed", "sent_at", "over_by")
 
     def __init__(self, engines: ExchangeOwner, attempt: Attempt) -> None:
         self.engines, self.attempt = engines, attempt
         self.connection: ClientConnection | None = None
         self.status, self.rest, self.whole, self.usage, self.over = 0, b"", False, Usage(), False
         self.heard = self.began = self.sent_at = 0.0
+        self.over_by = 0.0         # when the time is up that its engine was told
         self.passed = 0            # events passed on
         self.watch: IDelayedCall | None = None
 
@@ -125,8 +126,8 @@
         if self.over:
             return
         self.close(drop)
-        if outcome not in WITHOUT_EFFECT:
-            self.engines.release_after_read(self)
+        if outcome not in WITHOUT_EFFECT and (self.attempt.reads or drop or outcome is Outcome.CUT):
+            self.engines.given_up(self)
         self.engines.track_held(self, outcome)
         if self.passed and outcome is not Outcome.GENERATED:
             reason += f"; {self.passed} events in {1000 * (self.engines.reactor.seconds() - self.began):.0f} ms"
--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -19,7 +19,6 @@
 
 import math
 from collections.abc import Callable
-from itertools import islice
 from typing import Any
 
 from twisted.internet.interfaces import IReactorTCP
@@ -33,14 +32,14 @@
 from .attempt_exchange import AttemptExchange
 from .config import Facts
 from .control_call import ControlCall, report_of
-from .held_state import HEARD_MOST, RELEASE_TRIES, HeldState, Release
+from .held_state import HeldState, Release
+from .releases import Releases
 
 RESERVATIONS, STATS = "/internal/reservations", "/stats"
 CHUNK_MOST = 262_144     # bytes of one chunk: a body holds no more
 IDLE_PART = 0.6          # of the time after which engines close idle connections
 SETTLE_S = 0.05          # STANDING: a second answer may come some milliseconds late
 IDLE_MOST = 32           # idle connections kept for an engine
-ONLY_FRESH_S = -1.0      # no kept connection has been idle for so long
 PROVEN_FOR_S = 1.0       # a kept connection idle for longer than this may have fallen silent: what is held takes a fresh one
 
 
@@ -61,9 +60,7 @@
         self.runs: dict[str, AttemptExchange] = {}         # by sequence: one schedule attempt at a time
         self.lag = Lag()                        # the node's takes its place
         self.traces = False                     # whether lines of level debug are wanted
-        self.releases: dict[str, Release] = {}  # that no engine has heard of yet
-        self.releases_lost = 0
-        self.heard: dict[str, None] = {}  # engines that answered last, the newest at the end
+        self.state_releases = Releases(self, facts.let_go / 1e6, log)
         self.held: dict[str, HeldState] = {}   # by sequence: whose read state waits for a writer
         self.let_go_s = facts.let_go / 1e6
         self.invariants = InvariantMonitor(log)  # the router's takes its place
@@ -81,6 +78,7 @@
                 self.free(connection)
                 return run.finish(Outcome.NOT_SENT, "it may not go out any more")
             run.connection, run.sent_at = connection, self.reactor.seconds()
+            run.over_by = run.sent_at + left / 1e6
             if self.traces:
                 how = f"kept idle for {1000 * connection.rested:.0f} ms" if connection.rested >= 0 else "fresh"
                 self.log("attempt sent", level="debug", seq=attempt.seq_id, engine=attempt.engine, ordinal=attempt.ordinal,
@@ -108,7 +106,7 @@
                 self.distrust(attempt.engine, run.sent_at)
             run.close(drop=True)
             if sent:
-                self.release_after_read(run)
+                self.given_up(run)
             self.track_held(run, Outcome.RECALLED)
 
     def read_answer(self, attempt: Attempt) -> bool:
@@ -125,13 +123,17 @@
     def let_go(self, seq_id: str, engine: str, ordinal: int, state: dict[str, Any] | None) -> None:
         """Delivered to any engine, tried until one has heard of it: it stands for all that is held anywhere."""
         self._no_longer_held(seq_id)
-        release = self.releases.get(seq_id)
-        if release is None:
-            release = self.releases[seq_id] = Release(seq_id, engine)
-        release.asked_for += 1
-        if release.tried_at < self.reactor.seconds():
-            release.cancel()
-            self._release(release)
+        self.state_releases.ask(seq_id, engine)
+
+    @property
+    def releases(self) -> dict[str, Release]:
+        """Releases by request that no engine has confirmed yet."""
+        return self.state_releases.pending
+
+    @property
+    def releases_lost(self) -> int:
+        """Releases that no engine ever confirmed."""
+        return self.state_releases.lost
 
     def _now(self) -> int:
         return round(self.reactor.seconds() * 1e6)
@@ -158,7 +160,7 @@
                 now -= round(run.connection.data_age_s * 1e6)
             self.invariants.state_gone(attempt.seq_id, now, self._let_go_us)
         self._no_longer_held(attempt.seq_id)
-        self._no_release(attempt.seq_id)
+        self.state_releases.cancel(attempt.seq_id)
 
     def track_held(self, run: AttemptExchange, outcome: Outcome) -> None:
         """A schedule attempt has ended. A read has left its state: from now on that is held, and what is held besides has
@@ -168,7 +170,7 @@
         held = self.held.get(seq)
         if outcome is Outcome.READ:
             self._no_longer_held(seq)
-            self._no_release(seq)
+            self.state_releases.cancel(seq)
         elif held is None or run.passed:
             return self._no_longer_held(seq)
         elif held.runs and not run.arrived:
@@ -208,57 +210,29 @@
         if held:
             held.stop()
 
-    def _no_release(self, seq: str) -> None:
-        release = self.releases.pop(seq, None)
-        if release:
-            release.cancel()
-
-    def release_after_read(self, run: AttemptExchange) -> None:
-        """A read that ended just as its connection went has left its state all the same."""
-        if run.attempt.reads:
-            self.let_go(run.attempt.seq_id, run.attempt.engine, run.attempt.ordinal, None)
+    def given_up(self, run: AttemptExchange) -> None:
+        """A sent attempt ended here before its engine said how. A read that ended just as its connection went has left its state, and one
+        that goes on will leave it; a writer may hold on to the state that it waits for until it hears of the end."""
+        attempt = run.attempt
+        # A confirmed release frees what is held by then. The engine may hear of the end behind it, so releases are repeated.
+        if attempt.reads:
+            self.let_go(attempt.seq_id, attempt.engine, attempt.ordinal, None)
+            self.state_releases.follow(attempt.seq_id, attempt.engine, run.over_by)
+        elif attempt.seq_id in self.held and not run.passed:
+            self.state_releases.follow(attempt.seq_id, attempt.engine, self.reactor.seconds())
 
     # Small calls.
 
-    def _release(self, release: Release) -> None:
-        if self.releases.get(release.seq_id) is not release:
-            return
-        if release.tries >= RELEASE_TRIES:
-            self.releases.pop(release.seq_id)
-            self.releases_lost += 1
-            self.invariants.state_gone(release.seq_id, self._now(), self._let_go_us)
-            return self.log("letting go was not delivered", level="warning", seq=release.seq_id, engine=release.engine)
-        release.timer = self.reactor.callLater(release.pause_s, self._release, release)
-        run = self.runs.get(release.seq_id)
-        if release.tries and run and run.connection is not None and (run.attempt.reads or run.arrived):
-            return  # its bytes are out, so the time stops; what it reads must stay, and it begins again when it ends
-        release.tried_at = self.reactor.seconds()
-        release.tries += 1
-        if release.tries == 1:
-            return self._try_release(release, release.engine)
-        # The try before was lost: into a kept connection that has fallen silent, or for want of a new one. So both ways are gone.
-        self._try_release(release, self._likeliest(release), ONLY_FRESH_S)
-        proven = self.proven() if release.urgent else ""
-        if proven:
-            self._try_release(release, proven)
-
-    def _try_release(self, release: Release, engine: str, idle_most_s: float = math.inf) -> None:
-        asked_for, asked_at, number = release.asked_for, self._now(), release.tries
-
-        def answered(status: int, body: bytes) -> None:
-            if status == 204 and self.releases.get(release.seq_id) is release and release.asked_for == asked_for:
-                self.invariants.state_gone(release.seq_id, asked_at, self._let_go_us)
-                if self.traces:
-                    self.log("state released", level="debug", seq=release.seq_id, engine=engine, reason=f"try {number}")
-                self._no_release(release.seq_id)
-        self._ask(engine, "DELETE", f"{RESERVATIONS}/{release.seq_id}", answered, idle_most_s)
-
-    def _likeliest(self, release: Release) -> str:
-        """Every engine takes the call: the one heard last is the likeliest to be there, then the next."""
-        heard = [engine for engine in reversed(self.heard) if engine in self.places]
-        others = islice((engine for engine in self.places if engine not in self.heard), RELEASE_TRIES)
-        likely = [*heard, *others]
-        return likely[(release.tries - 2) % len(likely)] if likely else release.engine
+    def is_awaited(self, seq_id: str) -> bool:
+        """Whether an attempt is out, or about to go out, that needs what is held for its request, or is reading it."""
+        run = self.runs.get(seq_id)
+        if run and run.connection is not None and (run.attempt.reads or run.arrived):
+            return not run.passed
+        return seq_id in self.held
+
+    def release_at(self, engine: str, seq_id: str, done: Callable[[int, bytes], None], idle_most_s: float) -> None:
+        """One call that releases what is held for a request."""
+        self._ask(engine, "DELETE", f"{RESERVATIONS}/{seq_id}", done, idle_most_s)
 
     def _ask(self, engine: str, method: str, path: str, done: Callable[[int, bytes], None], idle_most_s: float = math.inf) -> None:
         """One small call, bounded in time. ``idle_most_s``: a kept connection that has been idle for longer is left for others."""
@@ -286,9 +260,9 @@
         self.connected(engine, ready, lambda reason: call.finish(0), idle_most_s)
 
     def free(self, connection: ClientConnection) -> None:
-        engine = connection.place.engine
-        self.heard.pop(engine, None)
-        self.heard[engine] = None
-        if len(self.heard) > HEARD_MOST:
-            del self.heard[next(iter(self.heard))]
+        self.state_releases.heard(connection.place.engine)
         super().free(connection)
+
+    def close(self) -> None:
+        self.state_releases.close()
+        super().close()
--- a/tests/test_given_up_attempts.py
+++ b/tests/test_given_up_attempts.py
@@ -17,7 +17,7 @@
 
 from aniserudder.eventloop import reactor
 from node_process import NodeProcess
-from platform_stand import EVENT, HEAD, READ, Site, ask, chunked
+from platform_stand import EVENT, HEAD, READ, Site, chunked
 from stand import on_loop, sleep, until
 
 ALLOWED_S = 0.65  # 0.3 of the settings, 0.3 of slack, 0.05 by which each limit is longer
