Given-up fetches are followed whoever released their state; unproven sends block no release

Cause: by reading the fix's own conditions: a writer's attempt that is given up because its state was let go (`_held_too_long`) no longer stood in `held` and was not followed; a retry's read over a kept connection that may be silent held releases back, though a send that has not arrived stops no clock. Change: the exchange itself knows whether it fetches a state; only attempts that have surely arrived hold releases back.

--- a/aniserudder/platform/attempt_exchange.py
+++ b/aniserudder/platform/attempt_exchange.py
@@ -37,13 +37,14 @@
     """One schedule attempt on its connection (``wire.client.Exchange``)."""
 
     __slots__ = ("engines", "attempt", "connection", "status", "rest", "whole", "usage", "over", "heard", "watch",
-                 "began", "passed", "sent_at", "over_by")
+                 "began", "passed", "sent_at", "over_by", "fetches_state")
 
     def __init__(self, engines: ExchangeOwner, attempt: Attempt) -> None:
         self.engines, self.attempt = engines, attempt
         self.connection: ClientConnection | None = None
         self.status, self.rest, self.whole, self.usage, self.over = 0, b"", False, Usage(), False
         self.heard = self.began = self.sent_at = 0.0
+        self.fetches_state = False  # a reader holds a state for it
         self.over_by = 0.0         # when the time is up that its engine was told
         self.passed = 0            # events passed on
         self.watch: IDelayedCall | None = None
--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -95,8 +95,8 @@
         def failed(reason: str) -> None:
             run.finish(Outcome.NOT_SENT if reason in (NO_DESCRIPTOR, LOCAL_TROUBLE) else Outcome.NO_ROUTE, reason)
 
-        fetches_state = attempt.seq_id in self.held
-        self.connected(attempt.engine, ready, failed, PROVEN_FOR_S if fetches_state else math.inf)
+        run.fetches_state = not attempt.reads and attempt.seq_id in self.held
+        self.connected(attempt.engine, ready, failed, PROVEN_FOR_S if run.fetches_state else math.inf)
 
     def call_off(self, attempt: Attempt) -> None:
         run = self.runs.get(attempt.seq_id)
@@ -218,15 +218,16 @@
         if attempt.reads:
             self.let_go(attempt.seq_id, attempt.engine, attempt.ordinal, None)
             self.state_releases.follow(attempt.seq_id, attempt.engine, run.over_by)
-        elif attempt.seq_id in self.held and not run.passed:
+        elif run.fetches_state and not run.passed:
             self.state_releases.follow(attempt.seq_id, attempt.engine, self.reactor.seconds())
 
     # Small calls.
 
     def is_awaited(self, seq_id: str) -> bool:
-        """Whether an attempt is out, or about to go out, that needs what is held for its request, or is reading it."""
+        """Whether an attempt has arrived that needs what is held for its request, or what is held waits for one and has a clock of its
+        own. An attempt that may not have arrived stops no clock: what an earlier one has left is released beside it."""
         run = self.runs.get(seq_id)
-        if run and run.connection is not None and (run.attempt.reads or run.arrived):
+        if run and run.arrived:
             return not run.passed
         return seq_id in self.held
 
