Soak: a fault on one link excuses nothing on a node's other links

Cause: the oracle took out of late, departed, repeated and drained sends all time in which any link of their node was touched, so that one cut excused seven engines. Change: link faults are kept by node and engine; each rule excuses what lies on the link of its own attempt.

--- a/aniserudder/soak/driver.py
+++ b/aniserudder/soak/driver.py
@@ -274,26 +274,27 @@
         for name in ("proxy0", "proxy1"):
             self.stage.helpers[name].tell(do=do, node=node, engine=engine, **more)
 
-    def _link_down(self, planned: Planned, node: str, lasts: float) -> None:
-        self.stage.log.note(Kind.LINK_DOWN, node=node, value=time.monotonic() + lasts)
+    def _link_down(self, node: str, engine: str, lasts: float) -> None:
+        self.stage.log.note(Kind.LINK_DOWN, node=node, engine=engine, value=time.monotonic() + lasts)
 
     def _link_cut(self, planned: Planned, node: str, engine: str) -> None:
-        self._link_down(planned, node, planned.lasts)
+        self._link_down(node, engine, planned.lasts)
         self._links("cut", node, engine)
         self._after(planned.lasts, lambda: self._links("heal", node, engine))
 
     def _link_silent(self, planned: Planned, node: str, engine: str) -> None:
         """What is open falls silent for good, with no error; new connections are well."""
         nodes = node if planned.draw < 0.6 else "*"
-        self._link_down(planned, nodes, planned.lasts)
+        self._link_down(nodes, engine, planned.lasts)
         self._links("silence", nodes, engine)
 
     def _link_reset(self, planned: Planned, node: str, engine: str) -> None:
-        self._link_down(planned, node, 0.2)
-        self._links("reset", node, engine if planned.draw < 0.7 else "*")
+        engine = engine if planned.draw < 0.7 else "*"
+        self._link_down(node, engine, 0.2)
+        self._links("reset", node, engine)
 
     def _link_slow(self, planned: Planned, node: str, engine: str) -> None:
-        self._link_down(planned, node, planned.lasts + 0.3)
+        self._link_down(node, engine, planned.lasts + 0.3)
         self._links("delay", node, engine, seconds=0.05 + 0.2 * planned.draw)
         self._after(planned.lasts, lambda: self._links("delay", node, engine, seconds=0.0))
 
--- a/aniserudder/soak/oracle.py
+++ b/aniserudder/soak/oracle.py
@@ -97,6 +97,19 @@
         return sum(max(0.0, min(end, e) - max(begin, b)) for key in (name, "*") for b, e in self.spans.get(key, ()))
 
 
+@dataclass(slots=True, frozen=True)
+class _LinkFault:
+    """A link, or all of a node or to an engine ("*"), is cut, silent, slow or reset from ``begin`` to ``end``."""
+    node: str
+    engine: str
+    begin: float
+    end: float
+
+    def touches(self, node: str, engine: str) -> bool:
+        """Whether it befalls a link; without an engine: any link of the node."""
+        return self.node in (node, "*") and (not engine or self.engine in (engine, "*"))
+
+
 @dataclass(slots=True)
 class HeldTally:
     """How many held states were judged, how many were not (their node was killed before), and the seconds taken out of those judged."""
@@ -115,7 +128,8 @@
     def __init__(self, events: list[Event], terms: Terms) -> None:
         self.events, self.terms = events, terms
         self.requests: dict[str, _Request] = defaultdict(_Request)
-        self.paused, self.engine_paused, self.links_down, self.receive_fails = _Spans(), _Spans(), _Spans(), _Spans()
+        self.paused, self.engine_paused, self.receive_fails = _Spans(), _Spans(), _Spans()
+        self.link_faults: list[_LinkFault] = []
         self.killed: dict[str, list[float]] = defaultdict(list)
         self.dying: dict[str, list[tuple[float, float]]] = defaultdict(list)  # from SIGKILL until the process is gone
         self.reloads: dict[str, list[float]] = defaultdict(list)
@@ -186,7 +200,7 @@
             case Kind.RECEIVE_FAILS:
                 self.receive_fails.add(event.node, event.at, event.value)
             case Kind.LINK_DOWN:
-                self.links_down.add(event.node, event.at, event.value)
+                self.link_faults.append(_LinkFault(event.node, event.engine or "*", event.at, event.value))
             case Kind.NODE_KILLED:
                 self.killed[event.node].append(event.at)
             case Kind.NODE_GONE:
@@ -229,6 +243,10 @@
 
     # Rules.
 
+    def _link_fault_s(self, node: str, engine: str, begin: float, end: float) -> float:
+        """Seconds of a stretch in which a fault lay on a node's link to an engine; without an engine: on any link of the node."""
+        return sum(max(0.0, min(end, fault.end) - max(begin, fault.begin)) for fault in self.link_faults if fault.touches(node, engine))
+
     def _killed_before(self, node: str, begin: float, end: float) -> float | None:
         """The moment of a SIGKILL in a stretch of time; one that began in the killed process's last moments was that process's too."""
         died = next((at for at, gone in self.dying[node] if at < begin <= gone + GONE_S), None)
@@ -266,7 +284,7 @@
         """A stream ends at most five seconds after its engine's last word."""
         served = [attempt.over_at for attempt in request.attempts
                   if attempt.end == End.SERVED.value and not self._went_down_after(attempt.engine, attempt.over_at)]
-        if request.end == "broken" and served and not self.links_down.within(request.node, request.began_at, request.ended_at):
+        if request.end == "broken" and served and not self._link_fault_s(request.node, "", request.began_at, request.ended_at):
             lost_at = served[-1]
             if not self.paused.within(request.node, lost_at - 1, request.ended_at) and request.ended_at - lost_at < 1.0:
                 self._break(Rule.ANSWER, request.ended_at, id, f"{request.node} broke off a stream that its engine had finished")
@@ -284,7 +302,7 @@
         for attempt in request.attempts if request.left_at else ():
             late = attempt.arrived_at - request.left_at
             allowed = LEFT_SLACK_S + SCHEDULING_S + self.paused.within(request.node, request.left_at, attempt.arrived_at)
-            allowed += self.links_down.within(request.node, request.left_at, attempt.arrived_at)
+            allowed += self._link_fault_s(request.node, attempt.engine, request.left_at, attempt.arrived_at)
             allowed += self.engine_paused.within(attempt.engine, request.left_at, attempt.arrived_at)
             if late > allowed:
                 self._break(Rule.LEFT, attempt.arrived_at, id, f"an attempt reached {attempt.engine} {late:.3f} s after the client left")
@@ -293,7 +311,7 @@
         for attempt in request.attempts:
             left = request.sent_at + request.timeout - attempt.arrived_at
             allowed = DEADLINE_SLACK_S + SCHEDULING_S + self.paused.within(request.node, request.sent_at, attempt.arrived_at)
-            allowed += self.links_down.within(request.node, request.sent_at, attempt.arrived_at)
+            allowed += self._link_fault_s(request.node, attempt.engine, request.sent_at, attempt.arrived_at)
             allowed += self.engine_paused.within(attempt.engine, request.sent_at, attempt.arrived_at)
             if attempt.told > left + allowed:
                 self._break(Rule.DEADLINE, attempt.arrived_at, id, f"{attempt.engine} was told {attempt.told:.3f} s, {left:.3f} s were left")
@@ -315,14 +333,14 @@
             self._break(Rule.ONCE, attempt.arrived_at, id, f"sent to {attempt.engine} though {ran.engine} may have run it ({ran.end or 'out'})")
         elif request.kind in self.terms.windows:
             late = attempt.arrived_at - ran.arrived_at - self.terms.windows[request.kind] - RULE_SLACK_S - SCHEDULING_S
-            late -= self.links_down.within(request.node, ran.arrived_at, attempt.arrived_at)
+            late -= self._link_fault_s(request.node, attempt.engine, ran.arrived_at, attempt.arrived_at)
             late -= self.paused.within(request.node, ran.arrived_at, attempt.arrived_at)
             if late > 0:
                 self._break(Rule.ONCE, attempt.arrived_at, id, f"repeated {late:.3f} s behind its window")
 
     def _beside(self, id: str, request: _Request, earlier: Attempt, attempt: Attempt) -> None:
         """Two attempts whose engines had the request at the same time. A machine that was stopped or cut off hears late of an end."""
-        if self.links_down.within(request.node, earlier.arrived_at, attempt.arrived_at):
+        if self._link_fault_s(request.node, earlier.engine, earlier.arrived_at, attempt.arrived_at):
             return
         if self.engine_paused.within(earlier.engine, earlier.arrived_at, attempt.arrived_at):
             return
@@ -343,7 +361,8 @@
             if told is None:
                 continue
             late = attempt.arrived_at - told - self.terms.drain_grace - RULE_SLACK_S - SCHEDULING_S
-            late -= self.paused.within(request.node, told, attempt.arrived_at) + self.links_down.within(request.node, told, attempt.arrived_at)
+            late -= self.paused.within(request.node, told, attempt.arrived_at)
+            late -= self._link_fault_s(request.node, attempt.engine, told, attempt.arrived_at)
             late -= self.engine_paused.within(attempt.engine, told, attempt.arrived_at)
             if late > 0:
                 self._break(Rule.DRAIN, attempt.arrived_at, id, f"{request.node} sent to {attempt.engine} {late:.3f} s after its grace")
@@ -376,7 +395,7 @@
     def _known_over_at(self, request: _Request, attempt: Attempt) -> float:
         """When its node knew at the latest that an attempt was over. Its answer may have been lost where a link was touched: then the
         node waits as long as it told the engine, or until the client is gone or answered, or it sends another attempt."""
-        if not self.links_down.within(request.node, attempt.arrived_at, attempt.over_at + LAST_BYTES_S):
+        if not self._link_fault_s(request.node, attempt.engine, attempt.arrived_at, attempt.over_at + LAST_BYTES_S):
             return attempt.over_at
         known = [attempt.arrived_at + attempt.told, *(other.arrived_at for other in request.attempts if other.arrived_at > attempt.arrived_at)]
         known += [at for at in (request.ended_at, request.left_at) if at]
