A fresh connection proves that a request arrived only if its machine has acknowledged all of it

Cause and lines: `AttemptExchange.arrived` (`rested < 0`), `HeldState.sent`, which stopped the clock as the bytes were handed to the system. Change: the clock runs on for each send; when the time is up, what the other machine has acknowledged (SIOCOUTQ), or an answer, decides. Where the system does not tell, a fresh connection counts as before.

--- a/aniserudder/platform/attempt_exchange.py
+++ b/aniserudder/platform/attempt_exchange.py
@@ -37,13 +37,14 @@
     """One schedule attempt on its connection (``wire.client.Exchange``)."""
 
     __slots__ = ("engines", "attempt", "connection", "status", "rest", "whole", "usage", "over", "heard", "watch",
-                 "began", "passed", "sent_at", "over_by", "fetches_state")
+                 "began", "passed", "sent_at", "over_by", "fetches_state", "_had_arrived")
 
     def __init__(self, engines: ExchangeOwner, attempt: Attempt) -> None:
         self.engines, self.attempt = engines, attempt
         self.connection: ClientConnection | None = None
         self.status, self.rest, self.whole, self.usage, self.over = 0, b"", False, Usage(), False
         self.heard = self.began = self.sent_at = 0.0
+        self._had_arrived = False  # when it ended: the end of a connection is not acknowledged yet, and is none of the request's bytes
         self.fetches_state = False  # a reader holds a state for it
         self.over_by = 0.0         # when the time is up that its engine was told
         self.passed = 0            # events passed on
@@ -51,8 +52,12 @@
 
     @property
     def arrived(self) -> bool:
-        """Whether its bytes have surely reached an engine: on a connection made for them, or by an answer."""
-        return self.connection is not None and (self.connection.rested < 0 or self.status != 0)
+        """Whether its bytes have reached an engine: on a connection made for them, if its machine has acknowledged all, or by an answer."""
+        if self.connection is None:
+            return False
+        if self.over:
+            return self._had_arrived
+        return self.status != 0 or self.connection.rested < 0 and not self.connection.unacknowledged
 
     def head(self, status: int) -> None:
         self.status = status
@@ -136,6 +141,7 @@
 
     def close(self, drop: bool) -> None:
         """Nothing more is told of this attempt."""
+        self._had_arrived = self.arrived
         self.over = True
         self.engines.runs.pop(self.attempt.seq_id, None)
         if self.watch and self.watch.active():
--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -88,8 +88,8 @@
                 return run.finish(Outcome.NO_ROUTE, "the connection went before the request")
             held = self.held.get(attempt.seq_id)
             if held:
-                held.sent(run.arrived)
-                if run.arrived:
+                held.sent()
+                if connection.rested < 0:
                     self.invariants.state_claimed(attempt.seq_id)
 
         def failed(reason: str) -> None:
@@ -194,6 +194,8 @@
 
     def _held_too_long(self, seq: str, ordinal: int) -> None:
         held, run = self.held[seq], self.runs.get(seq)
+        if run and not run.attempt.reads and run.arrived:
+            return  # its engine's machine has all of it
         if run and run.connection is not None and run.connection.read_now() and (run.arrived or run.over):
             return  # its answer shows that it arrived, and lay unread
         self.let_go(seq, held.engine, ordinal, None)
--- a/aniserudder/platform/held_state.py
+++ b/aniserudder/platform/held_state.py
@@ -14,8 +14,8 @@
 class HeldState:
     """A read's state that waits for a writer, and when it is let go.
 
-    The timer stops while an attempt is out that has arrived. It runs on through connections that do not come up, and while nothing
-    shows that a send arrived: a kept connection may have fallen silent without an error.
+    The timer runs on through connections that do not come up, and while nothing shows that a send arrived: a kept connection may have
+    fallen silent without an error, and a fresh one may have taken a part of it. Whether an attempt has arrived is asked when time is up.
     """
 
     __slots__ = ("engine", "timer", "_delayed")
@@ -27,11 +27,9 @@
     def runs(self) -> bool:
         return self.timer.active()
 
-    def sent(self, arrived: bool) -> None:
-        """Bytes of an attempt went out; what has not shown that it arrived gets a part of the slack to do so, once for all attempts."""
-        if arrived:
-            self.stop()
-        elif self.timer.active() and not self._delayed:
+    def sent(self) -> None:
+        """Bytes of an attempt went out; it gets a part of the slack to show that it arrived, once for all attempts."""
+        if self.timer.active() and not self._delayed:
             self._delayed = True
             self.timer.delay(UNPROVEN_S)
 
--- a/aniserudder/wire/client.py
+++ b/aniserudder/wire/client.py
@@ -17,7 +17,7 @@
 from zope.interface import implementer
 
 from . import text
-from .tcp_info import data_age
+from .tcp_info import data_age, unacknowledged_bytes
 
 HEAD_MOST = 65_536  # bytes of an answer's head
 
@@ -93,6 +93,12 @@
         handle = getattr(self.transport, "getHandle", None)
         return data_age(handle()) if handle and self.transport.connected else 0.0
 
+    @property
+    def unacknowledged(self) -> bool:
+        """Whether bytes that were written have not reached the server's machine; False where the system does not tell."""
+        handle = getattr(self.transport, "getHandle", None)
+        return bool(handle and self.transport.connected and unacknowledged_bytes(handle()))
+
     @property
     def unread(self) -> bool:
         """Whether the kernel holds bytes from the server that the loop has not come to yet."""
--- a/tests/test_fault_hunt.py
+++ b/tests/test_fault_hunt.py
@@ -288,7 +288,7 @@
     held = HeldState("r1", clock.callLater(0.3, lambda: fired.append(clock.seconds())))
     for _ in range(3):
         clock.advance(0.05)
-        held.sent(False)
+        held.sent()
     clock.pump([0.05] * 20)
     [at] = fired
     assert at <= 0.3 + RELEASE_SLACK_S - 2 * RELEASE_SLACK_S / RELEASES_IN_SLACK + 0.05
