What no engine took is released as soon as one is heard again

Cause: `Releases._give_up` forgot a request after ten tries (3.2 s); a node cut off from all engines for longer left what it held for good.

--- a/aniserudder/platform/releases.py
+++ b/aniserudder/platform/releases.py
@@ -102,6 +102,7 @@
         self.calls, self.let_go_s, self.log = calls, let_go_s, log
         self.pending: dict[str, Release] = {}  # by request: not confirmed by any engine yet
         self.given_up: dict[str, GivenUpAttempts] = {}  # by request
+        self.undelivered: dict[str, float] = {}  # requests whose release no engine took, and when it was given up
         self.lost = self.repeated = self.not_followed = 0
         self._heard: dict[str, float] = {}  # engines that answered last and when, the newest at the end
 
@@ -150,6 +151,16 @@
         self._heard[engine] = self.calls.reactor.seconds()
         if len(self._heard) > HEARD_MOST:
             del self._heard[next(iter(self._heard))]
+        if self.undelivered:
+            self._deliver(engine)
+
+    def _deliver(self, engine: str) -> None:
+        """An engine can be reached again: what no engine took is released through it."""
+        oldest = self.calls.reactor.seconds() - SILENT_MOST_S
+        undelivered, self.undelivered = self.undelivered, {}
+        for seq_id, lost_at in undelivered.items():
+            if lost_at > oldest and not self.calls.is_awaited(seq_id):
+                self.ask(seq_id, engine)
 
     def close(self) -> None:
         """Nothing is repeated any more."""
@@ -221,6 +232,8 @@
     def _give_up(self, release: Release) -> None:
         self.pending.pop(release.seq_id)
         self.lost += 1
+        if len(self.undelivered) < FOLLOWED_MOST:
+            self.undelivered[release.seq_id] = self.calls.reactor.seconds()
         self.calls.invariants.state_gone(release.seq_id, self._now_us(), round(self.let_go_s * 1e6))
         self.log("letting go was not delivered", level="warning", seq=release.seq_id, engine=release.engine)
 
--- a/tests/test_given_up_attempts.py
+++ b/tests/test_given_up_attempts.py
@@ -219,12 +219,12 @@
 
     def __init__(self):
         self.reactor, self.places, self.calls = Clock(), dict.fromkeys(("r1", "w1")), []
-        self.still, self.awaited = False, False
+        self.still = self.awaited = self.cut_off = False
         self.invariants = InvariantMonitor(lambda event, **fields: None)
         self.releases = Releases(self, 0.3, lambda event, **fields: None)
 
     def release_at(self, engine, seq_id, done, idle_most_s):
-        if engine == "r1" and self.still:
+        if self.cut_off or engine == "r1" and self.still:
             return
         self.calls.append(self.reactor.seconds())
         self.releases.heard(engine)
@@ -294,3 +294,17 @@
     there.releases.close()
     there.invariants.look_for_held(60_000_000, 300_000)
     assert there.invariants.violations[Violation.HELD_TOO_LONG] == FOLLOWED_MOST + 1
+
+
+def test_what_no_engine_took_is_released_as_soon_as_one_is_heard_again():
+    """A node that was cut off from all engines for over three seconds forgot what it had to release."""
+    there = Calls()
+    there.cut_off = True
+    there.releases.ask("a1", "r1")
+    there.run(6)
+    assert there.releases.lost == 1 and not there.releases.pending and not there.calls
+    there.cut_off = False
+    there.releases.heard("w1")
+    assert len(there.calls) == 1 and not there.releases.undelivered
+    there.releases.heard("w1")
+    assert len(there.calls) == 1
