The monitor looks for held states each second; repeats have a least pause

A deployment with a let-go time of a millisecond would have releases repeated each millisecond. Change: a look each second; 0.1 s at least between repeats.

--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -37,6 +37,7 @@
 QUIET_S = OPENING_S + LINGER_S  # that a stopping node waits for last bytes to leave: each connection is bounded by that
 LOOK_S = 0.05              # between looks at what a stopping node still owes
 FIGURES_S = 5.0            # between lines of figures
+LOOK_FOR_HELD_S = 1.0      # between the monitor's looks for what was never released
 LATE_S, LATE_EVERY_S = 0.25, 0.1  # a loop that is later than this is told
 RELOAD_AGAIN_S, RELOAD_FOR_S = 0.1, 2.0  # a file that cannot be used may be half written: so long it is read again
 DOOR_HELD_S = 1.5          # that a stopping node's listener waits for a system that refuses to accept
@@ -89,6 +90,11 @@
         self.reactor.callLater(READY_S, self._go_ahead, self.reactor.seconds() + READY_S)
         self.reactor.callLater(LATE_EVERY_S, self._late, self.reactor.seconds() + LATE_EVERY_S)
         self.reactor.callLater(FIGURES_S, self._figures)
+        self.reactor.callLater(LOOK_FOR_HELD_S, self._look_for_held)
+
+    def _look_for_held(self) -> None:
+        self.reactor.callLater(LOOK_FOR_HELD_S, self._look_for_held)
+        self.engines.look_for_held()
 
     def _go_ahead(self, due: float) -> None:
         """Ready though discovery has not answered; a loop that comes late looks for its answer first."""
@@ -206,7 +212,6 @@
         """What the node holds, and what it believes its engines hold of it."""
         self.reactor.callLater(FIGURES_S, self._figures)
         self.engines.sweep()
-        self.engines.look_for_held()
         believed = sum(e.streams for e in self.router.node.engines.values())
         reads = sum(len(e.out) for e in self.router.node.engines.values() if e.role is Role.READER)
         runs = [r.attempt.reads for r in self.engines.runs.values()]
--- a/aniserudder/platform/releases.py
+++ b/aniserudder/platform/releases.py
@@ -22,6 +22,7 @@
 RUNS_S = 1.0             # an engine that was heard within this time does not stand still
 SILENT_MOST_S = 30.0     # for which an engine that says nothing may stand still with what was given up
 SILENT_ASKED_EVERY = 4   # of the releases that are repeated, one goes to an engine that says nothing
+REPEAT_LEAST_S = 0.1     # between releases that are repeated, however short the settings' time
 FOLLOWED_MOST = 256      # requests whose given-up attempts are followed at a time
 
 
@@ -100,6 +101,7 @@
 
     def __init__(self, calls: ReleaseCalls, let_go_s: float, log: Callable[..., None]) -> None:
         self.calls, self.let_go_s, self.log = calls, let_go_s, log
+        self.repeat_s = max(REPEAT_LEAST_S, let_go_s)
         self.pending: dict[str, Release] = {}  # by request: not confirmed by any engine yet
         self.given_up: dict[str, GivenUpAttempts] = {}  # by request
         self.undelivered: dict[str, float] = {}  # requests whose release no engine took, and when it was given up
@@ -138,7 +140,7 @@
             if len(self.given_up) >= FOLLOWED_MOST:
                 self.not_followed += 1
                 return
-            timer = self.calls.reactor.callLater(self.let_go_s, self._repeat, seq_id)
+            timer = self.calls.reactor.callLater(self.repeat_s, self._repeat, seq_id)
             followed = self.given_up[seq_id] = GivenUpAttempts(until, timer)
         followed.until = max(followed.until, until)
         followed.engines[engine] = GivenUpEngine(now)
@@ -176,7 +178,7 @@
         self._take_up_heard(seq_id, followed)
         waits = seq_id in self.pending or self.calls.is_awaited(seq_id)
         if waits or followed.may_go_on(now):
-            followed.timer = self.calls.reactor.callLater(self.let_go_s, self._repeat, seq_id)
+            followed.timer = self.calls.reactor.callLater(self.repeat_s, self._repeat, seq_id)
         else:
             del self.given_up[seq_id]
         if not waits:
