Soak: a fetch that its proxy acknowledged and then lost counts as out

The proxy's system had acknowledged it; the machine of an engine acknowledges what it has. Change: the proxy notes the first request of a connection as it comes; while it was never handed on it counts as out until its node gives it up. A request on a kept connection, and one that was handed on, excuse nothing.

--- a/aniserudder/soak/events.py
+++ b/aniserudder/soak/events.py
@@ -18,6 +18,7 @@
     STATE_GONE = "state gone"        # a writer fetched it, or it was released
     # proxies
     FORWARDED = "forwarded"          # a request's head was handed to its engine's machine, whether or not its process runs
+    TAKEN = "taken"                  # the first request of a connection came to the proxy, which hands it on when its link's delay is over
     # discovery
     LISTED = "listed"                # the agents know a change: ``text`` is its phase, ``value`` when it counts as told at the latest
     # clients
--- a/aniserudder/soak/proxy.py
+++ b/aniserudder/soak/proxy.py
@@ -58,6 +58,17 @@
 class Inner(Side):
     """A node's end: connects to the engine when it is there."""
 
+    first = True  # nothing came on it yet
+
+    def dataReceived(self, data: bytes) -> None:
+        """Notes the first request as it comes: this system acknowledges it to the node, as a network that loses it later would not."""
+        if self.first and not self.silent:
+            self.first = False
+            found = REQUEST_ID.search(data)
+            if found:
+                self.link.note(Kind.TAKEN, found[1].decode())
+        super().dataReceived(data)
+
     def connectionMade(self) -> None:
         super().connectionMade()
         self.link.sides[self] = None
@@ -78,7 +89,7 @@
         found = REQUEST_ID.search(self.passed)
         if found:
             self.passed = self.passed[found.end():]
-            self.link.note(found[1].decode())
+            self.link.note(Kind.FORWARDED, found[1].decode())
 
     def _reached(self, outer: Side) -> None:
         outer.transport.setTcpNoDelay(True)
@@ -92,9 +103,9 @@
 
 
 class Link:
-    """One node's way to one engine. ``note`` is told the id of each request that is handed on."""
+    """One node's way to one engine. ``note`` is told the id of each request that is handed on, and of the first one as it comes."""
 
-    def __init__(self, port: int, target: int, note: Callable[[str], None]) -> None:
+    def __init__(self, port: int, target: int, note: Callable[[Kind, str], None]) -> None:
         self.note = note
         self.target, self.delay_s, self.sides = target, 0.0, {}
         self.port = listen(port, lambda: Inner(self), BACKLOG)
@@ -140,8 +151,8 @@
     """
 
     def __init__(self, specification: dict[str, Any], log: EventLog, chance: Random) -> None:
-        def noting(node: str, engine: str) -> Callable[[str], None]:
-            return lambda request: log.note(Kind.FORWARDED, request=request, node=node, engine=engine) and None
+        def noting(node: str, engine: str) -> Callable[[Kind, str], None]:
+            return lambda kind, request: log.note(kind, request=request, node=node, engine=engine) and None
         self.links = {(node, engine): Link(port, target, noting(node, engine))
                       for node, engine, port, target in specification["links"]}
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -158,3 +158,15 @@
         story.attempt(0.3, 0.8, engine="w2", told=1.2).at(0.9, Kind.ATTEMPT_OVER, engine="r1", text=End.READ.value, value=1)
         return story.answered(1).broken()
     assert story(0.29) == [] and story(None) == story(0.7) == [Rule.ONCE]
+
+
+def test_a_fetch_that_the_proxy_acknowledged_and_lost_is_out_until_its_node_gives_it_up():
+    """Found by the soak, seed 6103: a slow link fell silent over a request that a fresh connection had brought to the proxy."""
+    def story(taken, answered_after, forwarded=False):
+        story = Story().attempt(0.1, 0.2, End.READ, "r1").at(0.2, Kind.STATE_HELD, engine="r1").at(1.8, Kind.STATE_GONE)
+        if taken:
+            story.at(0.21, Kind.TAKEN, engine="w1")
+        if forwarded:
+            story.at(0.3, Kind.FORWARDED, engine="w1")
+        return story.answered(answered_after, "502").broken()
+    assert story(True, 1.7) == [] and story(False, 1.7) == story(True, 0.9) == story(True, 1.7, forwarded=True) == [Rule.HELD]
