--- a/aniserudder/soak/client.py
+++ b/aniserudder/soak/client.py
@@ -103,6 +103,8 @@
         self._connect()
 
     def _connect(self) -> None:
+        if not self.owner.nodes:  # the front has no node to send anybody to
+            return reactor.callLater(0.1, self._again) and None
         node = self.owner.chance.choice(self.owner.nodes)
         factory = ClientFactory()
         factory.noisy = False
@@ -269,7 +271,7 @@
     def obey(self, command: dict[str, Any]) -> None:
         """``{"stop": true}``: no further requests; ``{"nodes": [...]}``: those that the front knows of."""
         self.stopped = command.get("stop", self.stopped)
-        self.nodes = command.get("nodes", self.nodes) or self.nodes
+        self.nodes = command.get("nodes", self.nodes)
 
 
 if __name__ == "__main__":
--- a/aniserudder/soak/crowd.py
+++ b/aniserudder/soak/crowd.py
@@ -47,7 +47,7 @@
     def obey(self, command: dict[str, Any]) -> None:
         """``{"stop": true}``: connects no more; ``{"nodes": [...]}``: those that the front knows of."""
         self.stopped = command.get("stop", self.stopped)
-        self.nodes = command.get("nodes", self.nodes) or self.nodes
+        self.nodes = command.get("nodes", self.nodes)
 
     def later(self) -> None:
         """One more connection soon."""
@@ -57,6 +57,8 @@
     def _connect(self) -> None:
         if self.stopped:
             return
+        if not self.nodes:  # the front has no node to send anybody to
+            return self.later()
         factory = ClientFactory()
         factory.noisy = False
         factory.buildProtocol = lambda address: IdleConnection(self)
