A reset behind a release passes for an answered request: a failing test, listed

`ClientConnection.connectionLost` looks at `_status` and `_measured`, which are still those of the answer before; a 204 to a release has no length, so the reset ends an answer without a length.

--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -3,11 +3,14 @@
 import socket
 
 from twisted.internet import defer
-from twisted.internet.error import ConnectError
+from twisted.internet.error import ConnectError, ConnectionLost
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 
 from aniserudder.core.invariants import Violation
 from aniserudder.eventloop import reactor
 from aniserudder.wire import connections
+from aniserudder.wire.client import ClientConnection
 from platform_stand import READ, WHOLE, Site, ask
 from stand import on_loop, sleep, until
 
@@ -171,3 +174,41 @@
         return tried[7:]
     tried = on_loop(scene)
     assert any(idle < 0 for idle in tried) and any(idle > 0 for idle in tried)
+
+
+class Told:
+    """An exchange that notes how it ended."""
+
+    def __init__(self):
+        self.ends = []
+
+    def head(self, status):
+        pass
+
+    body = head
+
+    def complete(self):
+        self.ends.append("complete")
+
+    def lost(self, reason, malformed):
+        self.ends.append("lost")
+
+
+def test_a_connection_that_carried_a_release_and_is_reset_under_the_next_request_has_lost_it():
+    """Found by the soak, seed 6118: a writer's connection had carried a release, whose 204 has no length, and was reset under the fetch of a
+    state. The node took the reset for the end of an answer without a length ("attempt ended ... error: status 0"), so the fetch passed for
+    answered and was not followed, and the state that the writer still waited for lay for 23 s."""
+    connection, release, fetch = ClientConnection("w1", lambda c: None, lambda c: None), Told(), Told()
+    transport = StringTransport()
+    transport.setTcpNoDelay = lambda enabled: None
+    connection.makeConnection(transport)
+
+    def ask(exchange):
+        assert connection.ask("POST", "/", [], b"", exchange)
+        for _ in range(2):  # the transport has written all
+            connection.resumeProducing()
+    ask(release)
+    connection.dataReceived(b"HTTP/1.1 204 No Content\r\n\r\n")
+    ask(fetch)
+    connection.connectionLost(Failure(ConnectionLost()))
+    assert (release.ends, fetch.ends) == (["complete"], ["lost"])
