An answer's status does not stand for the next one; whatever ends an attempt unanswered is followed

Cause and lines: `ClientConnection.ask` left `_status` and `_measured` of the answer before; `AttemptExchange.finish` followed fetches that were cut or dropped alone, so a reset that passed for an answer was not; `Releases._deliver` forgot a request that an attempt of its own needed just then. Change: both are set back as a request is written; every end but an engine's word that nothing ran is followed; the request is kept for the next time.

--- a/aniserudder/platform/attempt_exchange.py
+++ b/aniserudder/platform/attempt_exchange.py
@@ -132,7 +132,7 @@
         if self.over:
             return
         self.close(drop)
-        if outcome not in WITHOUT_EFFECT and (self.attempt.reads or drop or outcome is Outcome.CUT):
+        if outcome not in WITHOUT_EFFECT:
             self.engines.given_up(self)
         self.engines.track_held(self, outcome)
         if self.passed and outcome is not Outcome.GENERATED:
--- a/aniserudder/platform/releases.py
+++ b/aniserudder/platform/releases.py
@@ -161,7 +161,9 @@
         oldest = self.calls.reactor.seconds() - SILENT_MOST_S
         undelivered, self.undelivered = self.undelivered, {}
         for seq_id, lost_at in undelivered.items():
-            if lost_at > oldest and not self.calls.is_awaited(seq_id):
+            if self.calls.is_awaited(seq_id):
+                self.undelivered[seq_id] = lost_at
+            elif lost_at > oldest:
                 self.ask(seq_id, engine)
 
     def close(self) -> None:
--- a/aniserudder/wire/client.py
+++ b/aniserudder/wire/client.py
@@ -133,6 +133,7 @@
         if self.state is not At.IDLE or not self.transport.connected or self.transport.disconnecting:
             return False
         self._exchange, self._head_bytes = exchange, 0
+        self._status, self._measured = 0, False  # the answer before must not pass for this one's if the connection goes
         self._change(At.BUSY)
         self.flushed = self._written = False
         data = text.request(method, path, self.host, headers, body)
