--- a/aniserudder/soak/driver.py
+++ b/aniserudder/soak/driver.py
@@ -299,8 +299,8 @@
         self._after(planned.lasts, lambda: self._links("delay", node, engine, seconds=0.0))
 
     def _discovery_down(self, planned: Planned, node: str, engine: str) -> None:
-        self.stage.helpers["discovery"].tell(down=True)
-        self._after(planned.lasts, lambda: self.stage.helpers["discovery"].tell(down=False))
+        self.stage.set_discovery_down(True)
+        self._after(planned.lasts, lambda: self.stage.set_discovery_down(False))
 
     def _discovery_slow(self, planned: Planned, node: str, engine: str) -> None:
         self.stage.helpers["discovery"].tell(slow=0.3 + 1.0 * planned.draw)
--- a/aniserudder/soak/stage.py
+++ b/aniserudder/soak/stage.py
@@ -99,6 +99,9 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}  # nodes that run
         self.helpers: dict[str, Helper] = {}
         self.since: dict[str, int] = dict.fromkeys(engines, 0)
+        self.discovery_is_down = False
+        self.phases = dict.fromkeys(engines, "SERVING")
+        self.told_phases = dict(self.phases)  # what nodes can have heard: nothing new while discovery is down
         self.scenario = scenario
         self._started_at: dict[str, float] = {}
         self._termed_at: dict[str, float] = {}
@@ -157,7 +160,7 @@
         """Writes a node's configuration, in place; ``half``: only the first part of it."""
         known = {"revision": 0, "complete": True, "members": [
             copy for engine in self.engines
-            for copy in copies_of({**self.member(engine), "host_port": f"{self.host}:{self.links[node, engine]}"}, self.scenario.copies)]}
+            for copy in copies_of({**self.member(engine, self.told_phases[engine]), "host_port": f"{self.host}:{self.links[node, engine]}"}, self.scenario.copies)]}
         text = json.dumps({
             "name": node, "listen": f"{self.host}:{self.ports[node]}", "discovery": f"{self.host}:{self.agents[node][self.agent_at[node]]}",
             "seed": f"{self.seed + self._starts:x}", "limits": {"sockets": 512}, "known": known, "settings": settings(len(self.nodes), self.scenario.deadlines)})
@@ -235,6 +238,16 @@
 
     def list_engine(self, engine: str, phase: str) -> None:
         self.helpers["discovery"].tell(set=self.member(engine, phase))
+        self.phases[engine] = phase
+        if not self.discovery_is_down:
+            self.told_phases = dict(self.phases)
+
+    def set_discovery_down(self, down: bool) -> None:
+        """While it is down its agents say nothing; what they get at its return they tell at once."""
+        self.helpers["discovery"].tell(down=down)
+        self.discovery_is_down = down
+        if not down:
+            self.told_phases = dict(self.phases)
 
     # The end.
 
