Engines with given-up attempts are remembered as heard, however many others answer

`Releases._heard` keeps 40 engines, so one that answered each call passed for silent and was followed for 30 s: load that feeds the jam. Change: engines with given-up attempts have their own times.

--- a/aniserudder/platform/releases.py
+++ b/aniserudder/platform/releases.py
@@ -106,6 +106,7 @@
         self.given_up: dict[str, GivenUpAttempts] = {}  # by request
         self.undelivered: dict[str, float] = {}  # requests whose release no engine took, and when it was given up
         self.lost = self.repeated = self.not_followed = 0
+        self._heard_since: dict[str, float] = {}  # engines with given-up attempts: when each was heard last
         self._heard: dict[str, float] = {}  # engines that answered last and when, the newest at the end
 
     def _now_us(self) -> int:
@@ -144,13 +145,17 @@
             followed = self.given_up[seq_id] = GivenUpAttempts(until, timer)
         followed.until = max(followed.until, until)
         followed.engines[engine] = GivenUpEngine(now)
+        self._heard_since.setdefault(engine, -math.inf)
         if self.calls.traces:
             self.log("attempt followed", level="debug", seq=seq_id, engine=engine, reason=f"it may leave something for {until - now:.1f} s")
 
     def heard(self, engine: str) -> None:
         """An engine has answered something."""
+        now = self.calls.reactor.seconds()
+        if engine in self._heard_since:
+            self._heard_since[engine] = now
         self._heard.pop(engine, None)
-        self._heard[engine] = self.calls.reactor.seconds()
+        self._heard[engine] = now
         if len(self._heard) > HEARD_MOST:
             del self._heard[next(iter(self._heard))]
         if self.undelivered:
@@ -183,6 +188,8 @@
             followed.timer = self.calls.reactor.callLater(self.repeat_s, self._repeat, seq_id)
         else:
             del self.given_up[seq_id]
+            if not self.given_up:
+                self._heard_since.clear()
         if not waits:
             self.repeated += 1
             self.ask(seq_id, followed.next_engine(now) or self.calls.proven() or next(reversed(self._heard), ""))
@@ -190,9 +197,8 @@
     def _take_up_heard(self, seq_id: str, followed: GivenUpAttempts) -> None:
         until = followed.until
         for engine in list(followed.engines):
-            if engine in self._heard:
-                followed.heard(engine, self._heard[engine])
-            elif engine not in self.calls.places:
+            followed.heard(engine, self._heard_since[engine])
+            if engine not in self.calls.places:
                 del followed.engines[engine]  # it is listed no more
         if followed.until > until:
             self.calls.invariants.state_may_come(seq_id, self._now_us(), round(followed.until * 1e6))
--- a/tests/test_given_up_attempts.py
+++ b/tests/test_given_up_attempts.py
@@ -308,3 +308,16 @@
     assert len(there.calls) == 1 and not there.releases.undelivered
     there.releases.heard("w1")
     assert len(there.calls) == 1
+
+
+def test_an_engine_that_runs_does_not_pass_for_silent_because_many_others_answer():
+    """Found by the soak, seed 8014: of 3,220 listed engines the 40 heard last were remembered, so a reader that answered each call counted as
+    silent, and one request was released 44 times in 13 s."""
+    there = Calls()
+    there.places = dict.fromkeys(["r1", "w1", *(f"w{number}" for number in range(2, 100))])
+    there.give_up()
+    for _ in range(600):
+        there.run(0.05)
+        for number in range(2, 100):
+            there.releases.heard(f"w{number}")
+    assert there.calls[-1] < 1.0 + GOES_ON_S + 0.7 and not there.releases.given_up
