A silent engine of two is never asked whether it runs: a failing test, listed

`GivenUpAttempts.next_engine` counts repeats and picks the engine by the same counter, so with two engines the one of four repeats that goes to a silent engine is always the second's. No rule of a request is broken by it; a node that is told to end stays up to 3.7 s in place of some tenths.

--- a/tests/test_given_up_attempts.py
+++ b/tests/test_given_up_attempts.py
@@ -321,3 +321,15 @@
         for number in range(2, 100):
             there.releases.heard(f"w{number}")
     assert there.calls[-1] < 1.0 + GOES_ON_S + 0.7 and not there.releases.given_up
+
+
+def test_each_of_two_engines_with_given_up_attempts_is_asked_whether_it_runs():
+    """Found by the soak, seed 9009: one of four repeats goes to an engine that says nothing, and with two of them it was always the second one.
+    The first passed for silent for 30 s though it answers, and a node that was told to end stayed for it for 3.7 s."""
+    there = Calls()
+    there.places["r2"] = None
+    there.releases.ask("a1", "w1")
+    for engine in ("r1", "r2"):
+        there.releases.follow("a1", engine, 1.0)
+    there.run(10)
+    assert not there.releases.given_up
