--- a/review/standins/stand.py
+++ b/review/standins/stand.py
@@ -463,6 +463,7 @@
 def play(folder: str, case: Callable[[Record], Awaitable[str]]) -> None:
     """Plays a case and exits: 0 the rule held, 1 it was broken, 2 it could not run. ``case`` returns what was broken; empty: nothing."""
     record = Record(Path(folder).resolve())
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(CANNOT_RUN))  # so that the node is ended, whoever ends the case
 
     async def bounded() -> str:
         return await asyncio.wait_for(case(record), 110)
