--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Clients that send many requests at once on a connection: what is behind the fourth closes it over those before."""
+"""Streams spoilt by a chunk whose size cannot be read and that keeps coming: their clients are kept waiting for as long as it comes."""
 import asyncio
 import sys
 from pathlib import Path
@@ -7,62 +7,67 @@
 sys.path.insert(0, str(HERE.parent / "standins"))
 import stand
 
-CLIENTS = 6          # of them the odd ones wait until their first request is answered in part
-AT_ONCE = 8          # requests on a connection; STANDING: "many commands at once"
-LONG_EVENTS = 100    # of a stream of 5 s
-TIME_S = 6.0        # that each request's client waits
-SLACK_S = 0.5 + 0.05  # STANDING: "Up to half a second after its time it only earns nothing"
+REQUESTS = 60
+SPOILT = {"q20", "q21", "q22", "q23"}
+MOST = 3_000_000_000  # bytes of a spoilt chunk; DAYS: "one declared as 3 GB that keeps coming"
+BOUND_S = 5.0         # DAYS: "provided the client's connection ends within 5 s"
+SLACK_S = 1.0         # for this machine; the page has none
+LAST_EVENT: dict[str, float] = {}
 
 
-async def client(node: stand.Node, number: int) -> list[str]:
-    """Returns the requests of one client that were lost: on its connection, which the node closed, came no answer, or a stream broke off that
-    its engine was still writing."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
-    streams = number % 2 == 1
-    ids = [f"c{number}q{n}" for n in range(AT_ONCE)]
-    if streams:
-        ids[0] += "-long"
-    requests = [stand.request_bytes(id, kind="send", timeout=TIME_S) for id in ids]
-    lost = []
+async def spoil(engine: stand.Engine, id: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    """Two good events, and then a chunk's size of zeros without an end."""
+    if not stand.TROUBLE or id not in SPOILT or engine.role == "read":
+        return False
+    writer.write(stand.STREAM_HEAD + stand.chunk(stand.EVENT % b"one") + stand.chunk(stand.EVENT % b"two"))
+    LAST_EVENT[id] = engine.site.record.note("last event written", engine=engine.name, request=id)
+    await asyncio.sleep(0.05)
+    zeros, sent = b"0" * 65_536, 0
     try:
-        if stand.TROUBLE:
-            writer.write(requests[0] if streams else b"")
-            await asyncio.sleep(0.5 if streams else 0)
-            writer.write(b"".join(requests[1 if streams else 0:]))
-            node.record.note("sent at once", client=number, requests=len(ids) - streams)
-        for id, request in zip(ids, requests):
-            if not stand.TROUBLE:
-                writer.write(request)
-            answer = await stand.read_answer(reader, TIME_S + SLACK_S)
-            node.record.note("answer", client=number, request=id, answer=answer, text=answer.body[:110] if answer.status != 200 else "")
-            if answer.why in ("the connection ended", "ConnectionResetError"):
-                lost.append(id)
+        while sent < MOST:
+            writer.write(zeros)
+            sent += len(zeros)
+            await writer.drain()
+            await asyncio.sleep(0)
     finally:
-        writer.close()
-    return lost
-
-
-async def longer(engine: stand.Engine, id: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
-    """Some answers are long."""
-    if engine.role == "read" or not id.endswith("-long"):
-        return False
-    await engine.writes(id, writer, LONG_EVENTS)
+        engine.site.record.note("spoilt chunk ended", engine=engine.name, request=id, bytes=sent)
     return True
 
 
 async def case(record: stand.Record) -> str:
-    site, agent, node = await stand.deployment(record, events=3, plan=longer)
+    site, agent, node = await stand.deployment(record, plan=spoil)
     node.start()
     try:
         await node.ready()
-        await stand.ask(node, "first")
-        lost = [id for ids in await asyncio.gather(*(client(node, n) for n in range(CLIENTS))) for id in ids]
-        forwarded = {id for _, id, _ in site.arrived}
-        cut = sorted(forwarded & set(lost))
-        record.note("requests", sent=CLIENTS * AT_ONCE, lost=len(lost), forwarded_and_cut_off=",".join(cut))
+        ended: dict[str, float] = {}
+
+        async def ask(id: str, kind: str) -> stand.Answer:
+            answer = await stand.ask(node, id, kind=kind, within=BOUND_S + SLACK_S + 3.0)
+            ended[id] = record.now()
+            return answer
+
+        asks = {}
+        for number in range(REQUESTS):  # 20 a second
+            asks[f"q{number}"] = asyncio.ensure_future(ask(f"q{number}", ("draft", "send")[number % 2]))
+            await asyncio.sleep(0.05)
+        answers = dict(zip(asks, await asyncio.gather(*asks.values())))
         if node.process.poll() is not None:
             return f"the node ended with {node.process.returncode}"
-        return f"the node closed connections over {len(lost)} of {CLIENTS * AT_ONCE} requests, {len(cut)} of them streams under way" if lost else ""
+        late = []
+        for id in sorted(LAST_EVENT):
+            answer = answers[id]
+            took = ended[id] - LAST_EVENT[id]
+            still = answer.why == "nothing more came"
+            record.note("spoilt stream", request=id, answer=answer, after_last_event=f"{took:.2f}", still_open=still)
+            if answer.whole or took > BOUND_S + SLACK_S:
+                late.append(f"{id} {'still open' if still else 'ended'} {took:.1f} s after its last event{', as a whole answer' * answer.whole}")
+        usual = [id for id in answers if id not in LAST_EVENT and not answers[id].whole]
+        record.note("usual requests", asked=len(answers) - len(LAST_EVENT), without_a_whole_answer=len(usual))
+        if stand.TROUBLE and len(LAST_EVENT) < len(SPOILT):
+            raise stand.CannotRun("a request that was to be spoilt reached no writer")
+        if not stand.TROUBLE and usual:
+            raise stand.CannotRun(f"{len(usual)} requests without an answer, without any trouble")
+        return "; ".join(late)
     finally:
         node.end()
         await site.close()
