Logs tell anonymous memory, its peak and limit; connections need no endpoints

The process is killed for its anonymous memory; figures told the resident size, files included, each 5 s. They now tell resident, anonymous, the peak since the last line (sampled each 0.1 s) and the limit that the settings name.

--- a/aniserudder/platform/config.py
+++ b/aniserudder/platform/config.py
@@ -16,6 +16,7 @@
 from ..boot import decode_settings, micros
 from ..decisions.interface import Settings
 from . import discovery
+from .process_memory import MEGABYTE
 
 VARIABLE = "NODE_CONFIG"
 
@@ -45,6 +46,7 @@
     discovery: tuple[str, int]
     seed: int
     descriptors: int
+    memory: int           # bytes of anonymous memory at which the process is killed; 0: not said
     known: discovery.News
     settings: Settings
     facts: Facts
@@ -150,9 +152,10 @@
     bounds, family, rules = ({n: v for n, v in settings.get(s, {}).items() if v is not None} for s in ("bounds", "family-info", "rules"))
     facts = Facts(connect=micros(bounds.get("connect-timeout", 0.25)), idle=micros(bounds.get("conn-idle", 15.0)),
                   let_go=micros(family.get("let-go-by", 0.3)), drain_grace=micros(rules.get("drain-grace")))
-    seed = data.get("seed", 0)
+    seed, limits = data.get("seed", 0), data.get("limits", {})
     return Config(str(data["name"]), address(data["listen"]), address(data["discovery"]),
-                  int(seed, 16) if isinstance(seed, str) else int(seed), int(data.get("limits", {}).get("sockets", 1024)),
+                  int(seed, 16) if isinstance(seed, str) else int(seed), int(limits.get("sockets", 1024)),
+                  int(float(limits.get("memory_mb") or 0) * MEGABYTE),
                   discovery.read(data.get("known") or {"revision": 0, "complete": True, "members": []}),
                   decode_settings(settings), facts)
 
--- a/aniserudder/platform/discovery.py
+++ b/aniserudder/platform/discovery.py
@@ -10,14 +10,13 @@
 from typing import Any
 
 import msgspec
-from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IDelayedCall, IReactorTCP
-from twisted.internet.protocol import Factory
 
 from ..core.router import Router
 from ..core.start_times import StartTimes
 from ..decisions.interface import Availability, RosterRow
 from ..wire.client import ClientConnection
+from ..wire.connecting import connect_tcp
 from ..wire.connections import Connections
 
 LIST = "/registry/instances"
@@ -172,16 +171,17 @@
         call = _Call(self, PATIENT_S if patient else ANSWER_S)
         self._calls[call] = None
         host, port = self.address
-        factory = Factory.forProtocol(lambda: ClientConnection(f"{host}:{port}", lambda c: None, lambda c: None))
-        factory.noisy = False
+
+        def build() -> ClientConnection:
+            return ClientConnection(f"{host}:{port}", lambda c: None, lambda c: None)
 
         def made(connection: ClientConnection) -> None:
             if call not in self._calls:
                 return connection.drop()
             call.ask(connection, LIST)
 
-        endpoint = TCP4ClientEndpoint(self.reactor, host, port, timeout=ANSWER_S)  # the agent stands on the same machine
-        endpoint.connect(factory).addCallbacks(made, lambda failure: call.failed("no connection"))
+        connecting = connect_tcp(self.reactor, host, port, build, ANSWER_S)  # the agent stands on the same machine
+        connecting.addCallbacks(made, lambda failure: call.failed("no connection"))
 
     def _watch(self) -> None:
         """Waits for what is newer than the list at hand."""
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -27,6 +27,7 @@
 from .clients import LINGER_S, OPENING_S, Clients
 from .discovery import Discovery
 from .engines import PlatformEngines
+from .process_memory import MemoryGauge
 from .signals import Signals
 
 LEVEL = "NODE_LOG_LEVEL"   # variable: debug, info, warning or error
@@ -59,6 +60,7 @@
 
     def __init__(self, conf: config.Config, reactor: IReactorTCP, log: Callable[..., None]) -> None:
         self.conf, self.reactor, self.log = conf, reactor, log
+        self.memory = MemoryGauge(conf.memory)
         limit = min(conf.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         own = limit - round(CLIENTS_PART * limit)
         self.engines = PlatformEngines(reactor, conf.facts, max(8, own - ENGINES_LESS), log)
@@ -205,11 +207,12 @@
             self.clients.open()
             gc.collect()
             gc.freeze()  # what is here now stays: no collection need look at it again
-            self.log("ready", level="info", reason=f"{len(self.discovery.listed)} engines, {resident_kb() // 1024} MB")
+            self.log("ready", level="info", reason=f"{len(self.discovery.listed)} engines, {self.memory.line()}")
 
     def _late(self, due: float) -> None:
         self.reactor.callLater(LATE_EVERY_S, self._late, self.reactor.seconds() + LATE_EVERY_S)
         late = self.reactor.seconds() - due
+        self.memory.sample()
         if self.discovery.start_times.sample():
             self.log("wall clock stepped", level="warning", reason=f"{self.discovery.start_times.steps} offsets seen so far")
         self.router.lag.loop_late(late)
@@ -224,7 +227,7 @@
         counts = self.router.counts
         level = "warning" if self.router.lag.loop_s > LATE_S else "info"
         self.log("figures", level=level, reason=(
-            f"{self.router.lag.line()}, {resident_kb() // 1024} MB, {self.clients.composition()}, engine "
+            f"{self.router.lag.line()}, {self.memory.line()}, {self.clients.composition()}, engine "
             f"connections {self.engines.open}, sequences {len(self.router.flights)}, reads {reads} believed {sum(runs)} out, streams "
             f"{believed} believed {len(runs) - sum(runs)} out; taken {counts.taken}, generated {counts.generated}, rejected "
             f"{counts.rejected}, aborted {counts.aborted}, left {counts.left}, turned away {self.clients.turned_away}, shed "
@@ -245,15 +248,6 @@
         return ", ".join(parts)
 
 
-def resident_kb() -> int:
-    """Memory that the process holds at present, in KiB; 0 where the system has no file left to tell it by."""
-    try:
-        with open("/proc/self/statm", "rb") as told:
-            return int(told.read().split()[1]) * resource.getpagesize() // 1024
-    except OSError:
-        return 0
-
-
 def bounded(log: Callable[..., None], seconds: Callable[[], float]) -> Callable[..., None]:
     """A log that writes so many lines a second at the most; what was left out is counted in the next line."""
     saved, at, left_out = 3.0 * LINES_PER_S, seconds(), 0
--- /dev/null
+++ b/aniserudder/platform/process_memory.py
@@ -0,0 +1,59 @@
+"""What memory the process holds, as the system counts it.
+
+The platform kills a process for its anonymous memory: the pages of files that are mapped, as the libraries' code, can be dropped and read
+again (proc(5), ``statm``).
+"""
+from __future__ import annotations
+
+import resource
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+STATM = Path("/proc/self/statm")
+MEGABYTE = 1 << 20
+
+
+@dataclass(slots=True, frozen=True)
+class ProcessMemory:
+    """Bytes that a process holds: ``resident`` in all, ``anonymous`` without the pages of files."""
+
+    resident: int = 0
+    anonymous: int = 0
+
+
+def process_memory() -> ProcessMemory:
+    """Memory that this process holds now; zeros where the system does not tell, or has no file left to tell it by."""
+    try:
+        _, resident, shared, *_ = STATM.read_bytes().split()
+    except (OSError, ValueError):
+        return ProcessMemory()
+    page = resource.getpagesize()
+    return ProcessMemory(int(resident) * page, (int(resident) - int(shared)) * page)
+
+
+class MemoryGauge:
+    """Follows the anonymous memory of the process, and the most of it since it was told last.
+
+    Args:
+        limit: bytes at which the process is killed; 0: not said.
+        read: what the process holds.
+    """
+
+    def __init__(self, limit: int, read: Callable[[], ProcessMemory] = process_memory) -> None:
+        self.limit = limit
+        self.anonymous = self.peak = 0
+        self._read = read
+
+    def sample(self) -> int:
+        """Reads anew. Returns the anonymous bytes."""
+        self.anonymous = self._read().anonymous
+        self.peak = max(self.peak, self.anonymous)
+        return self.anonymous
+
+    def line(self) -> str:
+        """For the log; the peak begins anew."""
+        held = self._read()
+        peak, self.peak = max(self.peak, held.anonymous), held.anonymous
+        of_limit = f" of {self.limit // MEGABYTE}" if self.limit else ""
+        return f"{held.resident // MEGABYTE} MB, {held.anonymous // MEGABYTE} anonymous, {peak // MEGABYTE} at most{of_limit}"
--- a/aniserudder/wire/client.py
+++ b/aniserudder/wire/client.py
@@ -71,10 +71,12 @@
         self._measured = False     # the answer's length is told by its head
         self._status = 0
         self._spoke_unasked = False
+        self.on_made: Callable[[ClientConnection], None] = lambda connection: None  # told once, when it is open
 
     def connectionMade(self) -> None:
         with suppress(OSError):  # it is of use, not needed
             self.transport.setTcpNoDelay(True)
+        self.on_made(self)
 
     # What the transport asks of whoever has more to write (``IPullProducer``): when the last byte has left.
 
--- a/aniserudder/wire/connections.py
+++ b/aniserudder/wire/connections.py
@@ -6,12 +6,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTCP, IReactorTime
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
 from .client import ClientConnection
+from .connecting import connect_tcp
 
 
 class Collect:
@@ -217,12 +218,6 @@
             failed(NO_DESCRIPTOR)
             return _nothing
         self.counts.connects += 1
-        kind = TCP4ClientEndpoint if place.host.replace(".", "").isdigit() else HostnameEndpoint
-        endpoint = kind(self.reactor, place.host, place.port, timeout=CONNECT_BACKSTOP * self.keeping.connect_s,
-                        bindAddress=(self.keeping.bind, 0) if self.keeping.bind else None)
-        factory = Factory.forProtocol(lambda: ClientConnection(f"{place.host}:{place.port}", self.free, self._gone,
-                                                               self.keeping.chunk_most))
-        factory.noisy = False
         self.open += 1
 
         def made(connection: ClientConnection) -> None:
@@ -243,11 +238,24 @@
                 return failed(LOCAL_TROUBLE)
             failed(f"no connection: {'TimeoutError' if limit.over else failure.value.__class__.__name__}")
 
-        connecting = endpoint.connect(factory)
+        connecting = self._connect(place)
         limit = ConnectLimit(self.reactor, self.keeping.connect_s, connecting.cancel)
         connecting.addCallbacks(made, not_made)
         return connecting.cancel
 
+    def _connect(self, place: Place) -> Deferred[ClientConnection]:
+        def build() -> ClientConnection:
+            return ClientConnection(f"{place.host}:{place.port}", self.free, self._gone, self.keeping.chunk_most)
+
+        timeout_s = CONNECT_BACKSTOP * self.keeping.connect_s
+        if place.host.replace(".", "").isdigit():
+            return connect_tcp(self.reactor, place.host, place.port, build, timeout_s, self.keeping.bind)
+        from twisted.internet.endpoints import HostnameEndpoint  # large, and of no use where addresses are numbers
+        factory = Factory.forProtocol(build)
+        factory.noisy = False
+        bind = (self.keeping.bind, 0) if self.keeping.bind else None
+        return HostnameEndpoint(self.reactor, place.host, place.port, timeout=timeout_s, bindAddress=bind).connect(factory)
+
     def _is_local(self, number: int | None, server: str) -> bool:
         """Whether a connection failed for a reason of this system, so that it tells nothing of the server. A network that is
         unreachable is the server's while others have just been reached."""
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -76,14 +76,7 @@
         await engines.keep_connections()
         site = engines.site
         reader = site.node.engines.places["r1"]
-
-        class Refused:
-            def __init__(self, *args, **fields):
-                pass
-
-            def connect(self, factory):
-                return defer.fail(ConnectError(osError=errno.EADDRNOTAVAIL, string="no port"))
-        monkeypatch.setattr(connections, "TCP4ClientEndpoint", Refused)
+        monkeypatch.setattr(connections, "connect_tcp", lambda *args: defer.fail(ConnectError(osError=errno.EADDRNOTAVAIL, string="no port")))
         for connection, _ in reader.idle[1:]:
             connection.drop()  # the only kept one to the reader takes the read
         del reader.idle[1:]
