A chunk of gigabytes is found out by its size; only events wind up silence

Callers saw a stream left open for as long as bytes came (a chunk of a stated 3 GB with sound events in it: open after 12 s), and a sound answer cut off after 4.5 s while its engine took 7 s for one event. One answer whose trailers never ended took the process over its memory.

Cause: llhttp tells neither a chunk's stated size nor how long a size line or trailer section grows; the clock of silence looked for unread bytes each time it ran out and went on for any, and was wound up by whole events only.

Now the head is read line by line (16 kB and 100 fields at most) and a chunked body by wire/chunked.py, which finds out a size over the bound, or a line that can come to no good, by the byte that shows it. The clock is wound up by bytes of events, for 30 s of one event at most, and reads what lies unread once. The connection drops its parser as it ends: they held one another, and waited for a collection.

--- a/aniserudder/platform/attempt_exchange.py
+++ b/aniserudder/platform/attempt_exchange.py
@@ -15,6 +15,7 @@
 from .control_call import EVENT_MOST
 
 SILENCE_S = 4.5          # PROTOCOL: a client is kept waiting less than 5 s after a running engine's last event
+EVENT_S = 30.0           # that an engine may take to write one event
 BREAK, DATA, DONE = b"\n\n", b"data: ", b"data: [DONE]"
 WITHOUT_EFFECT = frozenset({Outcome.READ, Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT})
 
@@ -37,13 +38,16 @@
     """One schedule attempt on its connection (``wire.client.Exchange``)."""
 
     __slots__ = ("engines", "attempt", "connection", "status", "rest", "whole", "usage", "over", "heard", "watch",
-                 "began", "passed", "sent_at", "over_by", "fetches_state", "_had_arrived")
+                 "began", "event_began", "looked_again", "passed", "sent_at", "over_by", "fetches_state", "_had_arrived")
 
     def __init__(self, engines: ExchangeOwner, attempt: Attempt) -> None:
         self.engines, self.attempt = engines, attempt
         self.connection: ClientConnection | None = None
         self.status, self.rest, self.whole, self.usage, self.over = 0, b"", False, Usage(), False
-        self.heard = self.began = self.sent_at = 0.0
+        self.began = self.sent_at = 0.0
+        self.heard = 0.0           # when bytes last came of which events are made; a line of another kind winds up no clock
+        self.event_began = 0.0     # when the first byte of an event came that is not whole; 0: there is none
+        self.looked_again = False  # since then what lay unread was read once
         self._had_arrived = False  # when it ended: the end of a connection is not acknowledged yet, and is none of the request's bytes
         self.fetches_state = False  # a reader holds a state for it
         self.over_by = 0.0         # when the time is up that its engine was told
@@ -76,9 +80,9 @@
         """Passes on what came of whole events; anything else is none of an engine's making."""
         end = self.rest.rfind(BREAK) + len(BREAK)
         if end < len(BREAK):
-            if not self.rest.startswith(DATA[:len(self.rest)]):
-                self.finish(Outcome.ERROR, "what came is no event", drop=True)
-            return
+            if self.whole or not self.rest.startswith(DATA[:len(self.rest)]):
+                return self.finish(Outcome.ERROR, "what came is no event", drop=True)
+            return self._event_grows()
         came, self.rest = self.rest[:end], self.rest[end:]
         good = 0
         for event in came[:-len(BREAK)].split(BREAK):
@@ -90,7 +94,7 @@
             elif b'"usage"' in event:
                 self.usage = usage_of(event) or self.usage
         if good:
-            self.heard = self.engines.reactor.seconds()
+            self._events_came()
             self.engines.heard(self.attempt.engine)
             self.passed += came.count(BREAK, 0, good)
             if self.watch is None:
@@ -98,9 +102,20 @@
                 self.engines.started(self.attempt)
                 self._watch(SILENCE_S)
             self.attempt.text(came[:good])
-        if good < len(came) and not self.over:
+        if (good < len(came) or self.whole and self.rest) and not self.over:
             self.finish(Outcome.ERROR, "what came is no event", drop=True)
 
+    def _events_came(self) -> None:
+        self.heard, self.looked_again = self.engines.reactor.seconds(), False
+        self.event_began = self.heard if self.rest else 0.0
+
+    def _event_grows(self) -> None:
+        """A part of an event came. It winds up the clock of silence for as long as one event may take."""
+        now = self.engines.reactor.seconds()
+        self.event_began = self.event_began or now
+        if now - self.event_began < EVENT_S:
+            self.heard, self.looked_again = now, False
+
     def complete(self) -> None:
         never = self.connection.headers.get(b"not-started") == b"1"
         match self.status:
@@ -155,9 +170,10 @@
         left = self.heard + SILENCE_S - self.engines.reactor.seconds()
         if left > 0.001:
             return self._watch(left)
-        if self.connection.read_now():  # its events came in time, and the loop late
+        looked_again, self.looked_again = self.looked_again, True
+        if not looked_again and self.connection.read_now():  # its events came in time, and the loop late
             if not self.over:
-                self._watch(SILENCE_S)
+                self._watch(0)
             return
         self.finish(Outcome.CUT, "the stream fell silent", drop=True)
 
--- a/aniserudder/wire/client.py
+++ b/aniserudder/wire/client.py
@@ -17,9 +17,11 @@
 from zope.interface import implementer
 
 from . import text
+from .chunked import BadChunk, ChunkedBody
 from .tcp_info import data_age, unacknowledged_bytes
 
-HEAD_MOST = 65_536  # bytes of an answer's head
+HEAD_MOST = 16_384  # bytes of an answer's head, and of those of interim answers before it
+FIELDS_MOST = 100   # of one head
 
 
 class At(Enum):
@@ -63,13 +65,15 @@
         self.flushed = True        # the kernel has taken every byte of the request
         self._written = False
         self.headers: dict[bytes, bytes] = {}  # of the answer that is being read, names in lower case
-        self._chunk_most, self._chunk = chunk_most, 0
+        self._chunk_most = chunk_most
+        self._chunks: ChunkedBody | None = None  # the body that is being read, where it comes in chunks
+        self._keeps_alive = False  # the answer's head allows another exchange behind it
         self._on_free, self._on_gone = on_free, on_gone
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._head_bytes = -1      # of a head that is being read; -1: none is
         self._measured = False     # the answer's length is told by its head
-        self._status = 0
+        self._status = self._fields = 0
         self._spoke_unasked = False
         self.on_made: Callable[[ClientConnection], None] = lambda connection: None  # told once, when it is open
 
@@ -136,6 +140,8 @@
             return False
         self._exchange, self._head_bytes = exchange, 0
         self._status, self._measured = 0, False  # the answer before must not pass for this one's if the connection goes
+        if self._chunks:  # llhttp has not seen the end of that body
+            self._chunks, self._parser = None, httptools.HttpResponseParser(self)
         self._change(At.BUSY)
         self.flushed = self._written = False
         data = text.request(method, path, self.host, headers, body)
@@ -188,33 +194,63 @@
         if self.state is At.IDLE:  # a server that speaks unasked is not to be trusted with the next answer
             return self.drop()
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as wrong:
+            self._read(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade, BadChunk) as wrong:
             return self._broke(f"no HTTP: {wrong}", True)
-        if self._head_bytes >= 0 and self.state is At.BUSY:
-            self._head_bytes += len(data)
-            if self._head_bytes > HEAD_MOST:
-                self._broke("the answer's head is too long", True)
         if self._spoke_unasked:
             self.drop()
         elif self.state is At.IDLE:  # not before: bytes behind the answer would pass for the next one's
             self._on_free(self)
 
+    def _read(self, data: bytes) -> None:
+        """Reads the head line by line, so that the body's first byte is known, and then the body."""
+        while data and self.state is At.BUSY:
+            if self._chunks:
+                data = self._read_chunks(data)
+            elif self._head_bytes >= 0:
+                line, end, data = data.partition(b"\n")
+                self._parser.feed_data(line + end)
+                self._count_head(len(line) + len(end))
+            else:
+                self._parser.feed_data(data)
+                data = b""
+        if data and self.state is At.IDLE:
+            self._spoke_unasked = True
+
+    def _count_head(self, size: int) -> None:
+        if self._head_bytes >= 0 and self.state is At.BUSY:
+            self._head_bytes += size
+            if self._head_bytes > HEAD_MOST:
+                self._broke("the answer's head is too long", True)
+
+    def _read_chunks(self, data: bytes) -> bytes:
+        """Takes the next piece of a body in chunks. Returns what has not been read of the data."""
+        piece, rest = self._chunks.feed(data)
+        if piece and self._exchange:
+            self._exchange.body(piece)
+        elif self._chunks.complete and self._exchange:
+            self._complete(self._keeps_alive)
+        return rest
+
     def connectionLost(self, reason: Failure) -> None:
         if self.state is At.BUSY and self._status and not self._measured:
             self._complete(False)  # an answer without a length ends with the connection
         elif self.state is not At.CLOSED:
             self._broke(f"connection lost: {reason.value.__class__.__name__}", False)
         self._on_gone(self)
+        self._parser = self._chunks = None  # parser and connection hold one another: neither waits for a collection
 
     # The parser.
 
     def on_message_begin(self) -> None:
         self._status, self._measured = 0, False
-        self.headers = {}
+        self.headers, self._fields = {}, 0
         self._spoke_unasked = self._spoke_unasked or self._exchange is None
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._fields += 1
+        if self._fields > FIELDS_MOST:
+            raise httptools.HttpParserError("too many fields")
         name = name.lower()
         self.headers[name] = value
         if name in (b"content-length", b"transfer-encoding"):
@@ -224,15 +260,11 @@
         status = self._parser.get_status_code()
         if status >= 200 and self._exchange:
             self._head_bytes, self._status = -1, status
+            if self.headers.get(b"transfer-encoding", b"").lower().endswith(b"chunked"):
+                self._chunks, self._keeps_alive = ChunkedBody(self._chunk_most), self._parser.should_keep_alive()
             self._exchange.head(status)
 
-    def on_chunk_header(self) -> None:
-        self._chunk = 0
-
     def on_body(self, data: bytes) -> None:
-        self._chunk += len(data)
-        if self._chunk_most and self._chunk > self._chunk_most:
-            return self._broke("a chunk is too long", True)
         if self._exchange:
             self._exchange.body(data)
 
