What is remembered by name is bounded over all engines, from the process's memory

Memory grew under ever new names: a bound of 4,000 beginnings for each engine is 52,000 at 13 engines and none at thousands, each with its name of up to 256 characters.

Settings gain the process's memory; decisions/remembered.py bounds the beginnings of all engines together by a sixteenth of it (8,192 entries at 32 MB, 65,536 where no memory is told), the oldest give way; tables by shared beginning have a quarter of that.

--- a/aniserudder/decisions/candidates.py
+++ b/aniserudder/decisions/candidates.py
@@ -63,6 +63,7 @@
         self.mixed = 0                                   # listed mixed engines
         self._warm: dict[tuple[Role, str], Ring] = {}
         self._racks: dict[tuple[Role, str, int], Ring] = {}
+        self.names_most = HOLDER_KEYS
         self._holders: dict[str, dict[Engine, None]] = {}
 
     @property
@@ -152,9 +153,14 @@
         holders[engine] = None
         if len(holders) > HOLDERS:
             del holders[next(iter(holders))]
-        if len(self._holders) > HOLDER_KEYS:
+        if len(self._holders) > self.names_most:
             del self._holders[next(iter(self._holders))]
 
+    @property
+    def names(self) -> int:
+        """Beginnings of which it is known who keeps them."""
+        return len(self._holders)
+
     # Candidates.
 
     def widths(self) -> Iterator[int]:
--- a/aniserudder/decisions/interface.py
+++ b/aniserudder/decisions/interface.py
@@ -102,6 +102,7 @@
     cold_time: int
     fall_multiple: float
     allowances: dict[str, float]  # customer: sequences a second inside its share, over all nodes
+    memory: int = 0               # bytes that the process may hold; 0: not said
     streams_go_on: bool = False   # the host can have a broken stream continued from its text so far
 
 
--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -16,6 +16,7 @@
 from .interface import (Availability, Change, Effect, EngineChange, Outcome, Prompt, Report, Role, RosterRow,
                         SequenceChange, Settings, Standing, State)
 from .pace import FIRST_READ_PACE, MS, READ_OVERHEAD, USUAL_FOR, S
+from .remembered import ENTRY_BYTES, Remembered
 from .slow_start import SlowStart
 from .state import Attempt, Cluster, Engine, Sequence, TypeRow
 
@@ -117,6 +118,14 @@
         self.helped_at = 0        # when a mixed engine was last wanted to help readers out
         self.help = math.inf      # microseconds of their time that this node may still take
         self.buckets: dict[str, tuple[float, int]] = {}
+        self.remembered = Remembered(settings.memory)
+        self.names_most = min(KEPT_MOST, self.remembered.names_most)
+        self.index.names_most = min(self.index.names_most, self.remembered.names_most)
+
+    @property
+    def remembered_bytes(self) -> int:
+        """Memory that what is remembered by name holds."""
+        return ENTRY_BYTES * (self.remembered.entries + 2 * len(self.homes) + len(self.met) + 2 * self.index.names)
 
     # What happens, as told by the host.
 
@@ -461,7 +470,7 @@
         if (shared, long) not in self.homes:
             some = window(near, point(shared), len(near) if not self.index.large else HOMES_AMONG)
             lane = sorted((e for e in some if e.long is long), key=lambda e: rank(e, shared))
-            while len(self.homes) >= KEPT_MOST:
+            while len(self.homes) >= self.names_most:
                 del self.homes[next(iter(self.homes))]
             self.homes[shared, long] = lane[:min(MOST_HOMES, math.ceil(HOME_PART * len(near)))]
         part = self._meet(shared) / max(1.0, self._meet(""))
@@ -472,7 +481,7 @@
         count, at = self.met.pop(shared, (0.0, self.now))
         count *= math.exp((at - self.now) / KEPT_FOR)
         self.met[shared] = count + 1, self.now
-        while len(self.met) > KEPT_MOST:
+        while len(self.met) > self.names_most:
             del self.met[next(iter(self.met))]
         return count
 
@@ -491,8 +500,10 @@
     def _keep(self, engine: Engine, seq: Sequence) -> None:
         for key, tokens in self._keys(seq):
             if key and tokens:
-                engine.kept.pop(key, None)
+                known = engine.kept.pop(key, None)
                 engine.kept[key] = (tokens, self.now)
+                if known is None:
+                    self.remembered.added(self.engines.values())
                 self.index.keeps(key, engine)
         while len(engine.kept) > KEPT_MOST:
             del engine.kept[next(iter(engine.kept))]
--- a/aniserudder/platform/config.py
+++ b/aniserudder/platform/config.py
@@ -7,16 +7,16 @@
 
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from ..admission.memory import MEGABYTE
 from ..boot import decode_settings, micros
 from ..decisions.interface import Settings
 from . import discovery
-from .process_memory import MEGABYTE
 
 VARIABLE = "NODE_CONFIG"
 
@@ -153,11 +153,12 @@
     facts = Facts(connect=micros(bounds.get("connect-timeout", 0.25)), idle=micros(bounds.get("conn-idle", 15.0)),
                   let_go=micros(family.get("let-go-by", 0.3)), drain_grace=micros(rules.get("drain-grace")))
     seed, limits = data.get("seed", 0), data.get("limits", {})
+    memory = int(float(limits.get("memory_mb") or 0) * MEGABYTE)
     return Config(str(data["name"]), address(data["listen"]), address(data["discovery"]),
                   int(seed, 16) if isinstance(seed, str) else int(seed), int(limits.get("sockets", 1024)),
-                  int(float(limits.get("memory_mb") or 0) * MEGABYTE),
+                  memory,
                   discovery.read(data.get("known") or {"revision": 0, "complete": True, "members": []}),
-                  decode_settings(settings), facts)
+                  replace(decode_settings(settings), memory=memory), facts)
 
 
 def address(text: str) -> tuple[str, int]:
