One place owns what peers make the process hold, and what of the processor they get

Callers saw processes killed for their memory within half a second of a crowd, usual clients without an answer beside floods, connections stuck behind a request that could not be handled. Causes, from own runs: each connection had a bound and the sum had none (500 half bodies: 160 MB); connections and their parsers held one another until a collection (500 silent clients that come again: 42 MB); trailer fields were kept without any bound; one look over all connections for each that came or went, one decision for each waiting request in a single turn; an exception in a handler left its connection busy for good.

What was read is answered, in order: an excess of pipelined requests gets its 429 each, behind an owed answer without a reset. Handlers' exceptions are answered. Large blocks go back to the system (mallopt).

--- a/aniserudder/measure/admission.py
+++ b/aniserudder/measure/admission.py
@@ -176,7 +176,7 @@
     from twisted.internet.task import Clock
     from twisted.internet.testing import StringTransport
 
-    from ..wire.server import Bounds, ServerConnection
+    from ..wire.server import Bounds, ServerFactory
     rules = Admission(connections=count + 10, reserve_connections=1, address_connections=count, network_connections=count,
                       address_new_per_s=1e9)
     door, clock = Door(rules, 0.0), Clock()
@@ -191,7 +191,8 @@
     before = tracemalloc.get_traced_memory()[0]
     transports = [Transport() for _ in range(count)]
     bare = tracemalloc.get_traced_memory()[0]
-    held = [ServerConnection(clock, Bounds(), lambda e: None, lambda c: None, lambda c, reason, owed: None) for _ in range(count)]
+    factory = ServerFactory(clock, Bounds(), lambda exchange: None)
+    held = [factory.make() for _ in range(count)]
     for connection, transport in zip(held, transports):
         connection.makeConnection(transport)
     whole = (tracemalloc.get_traced_memory()[0] - bare) / count
--- a/aniserudder/platform/attempt_exchange.py
+++ b/aniserudder/platform/attempt_exchange.py
@@ -9,6 +9,7 @@
 import msgspec
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
+from ..admission.memory import MemoryBudget, Purpose
 from ..core.ports import Attempt, Usage
 from ..decisions.interface import Outcome
 from ..wire.client import ClientConnection
@@ -24,6 +25,7 @@
     """What an exchange tells its attempt's fate to (``platform.engines.PlatformEngines``)."""
     reactor: IReactorTime
     runs: dict[str, AttemptExchange]  # by request
+    budget: MemoryBudget
 
     def started(self, attempt: Attempt) -> None: ...
 
@@ -38,7 +40,7 @@
     """One schedule attempt on its connection (``wire.client.Exchange``)."""
 
     __slots__ = ("engines", "attempt", "connection", "status", "rest", "whole", "usage", "over", "heard", "watch",
-                 "began", "event_began", "looked_again", "passed", "sent_at", "over_by", "fetches_state", "_had_arrived")
+                 "began", "event_began", "looked_again", "passed", "sent_at", "over_by", "fetches_state", "memory", "_had_arrived")
 
     def __init__(self, engines: ExchangeOwner, attempt: Attempt) -> None:
         self.engines, self.attempt = engines, attempt
@@ -53,6 +55,10 @@
         self.over_by = 0.0         # when the time is up that its engine was told
         self.passed = 0            # events passed on
         self.watch: IDelayedCall | None = None
+        self.memory = engines.budget.account(Purpose.ENGINE_ANSWERS, self._gives_way)
+
+    def _gives_way(self) -> None:
+        self.finish(Outcome.ERROR, "memory was needed for others", drop=True)
 
     @property
     def arrived(self) -> bool:
@@ -75,6 +81,8 @@
             self._events()
         if len(self.rest) > EVENT_MOST and not self.over:
             self.finish(Outcome.ERROR, "an event or an answer is too long", drop=True)
+        elif not self.over and (self.rest or self.memory.size):
+            self.memory.hold(len(self.rest))  # which may end this very attempt
 
     def _events(self) -> None:
         """Passes on what came of whole events; anything else is none of an engine's making."""
@@ -157,6 +165,8 @@
         """Nothing more is told of this attempt."""
         self._had_arrived = self.arrived
         self.over = True
+        self.memory.release()
+        self.memory.gives_way = None
         self.engines.runs.pop(self.attempt.seq_id, None)
         if self.watch and self.watch.active():
             self.watch.cancel()
--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 import msgspec
+import xxhash
 from twisted.internet.interfaces import IDelayedCall, IListeningPort, IReactorTime
 
 from ..admission.descriptors import Calm, Descriptors
@@ -18,20 +18,24 @@
 from ..core.router import Router
 from ..decisions.interface import Prompt
 from ..wire.listening import accepts
-from ..wire.server import At, Bounds, CloseReason, Exchange, ServerConnection, ServerFactory
+from ..wire.server import At, Bounds, CloseReason, Exchange, ServerConnection, ServerFactory, ServerResources
 
 PATH, READY = "/v1/chat/completions", "/health/ready"
 BODY_MOST = 262_144      # PROTOCOL: a body holds 256 KiB at most
+READ_MOST = 16_384       # bytes of one connection that are read and written at a time
 OPENING_S = 2.4          # DAYS: what says nothing or never ends is closed within 3 s of connecting
 IDLE_S = 2.0             # DAYS: a connection with no open request may be closed after this
 LINGER_S = 0.5           # for a client's end after ours; it stands in the next room
 KEPT_S = 60.0            # and is, where nobody needs the room
 FIRST_WORD_S = 0.3       # that a stopping node waits for the first request of a connection that it has accepted
+PART_CHANCE_S = 1.0      # nor one that has sent a part of its first request
 CHANCE_S = 0.1           # a connection that never had a sequence is not closed to make room before it could ask for one
 LONGEST = 3_600_000_000  # microseconds; a deadline beyond that is none
 MOST_TOKENS = 10_000_000
-ID_MOST, NAME_MOST = 128, 256
-REMEMBERED = 4_096       # ids of requests that are over: an id never comes twice
+ID_MOST = 128
+REMEMBERED = 4_096       # ids of requests that are over, by their digests: an id never comes twice
+REMEMBERED_BYTES = 160   # that one of them holds
+NAME_KEPT = 32           # characters; a longer name stands by its digest
 NO_TIME_US = 1         # of a request whose time was over before it was read
 LOOK_EVERY = 0.05        # seconds between looks at who may be closed, while room is short
 # Not passed on: what concerns one connection alone (RFC 9110, 7.6.1), and what the node writes itself.
@@ -69,6 +73,16 @@
     return value
 
 
+def short_name(name: str) -> str:
+    """A name that clients make up, in a form of bounded length: each is remembered for a while, and so is its length."""
+    return name if len(name) <= NAME_KEPT else xxhash.xxh3_128_hexdigest(name.encode())
+
+
+def digest(id: str) -> int:
+    """By which an id is remembered."""
+    return xxhash.xxh3_64_intdigest(id.encode())
+
+
 def prompt_of(headers: dict[str, str], types: Iterable[str]) -> Prompt:
     """What the decision module is told of a request.
 
@@ -89,7 +103,7 @@
     def count(name: str) -> int:
         return round(_number(info.get(name) or "0", 0, MOST_TOKENS, name))
     hint = _number(headers.get("work-hint") or "0", 0, LONGEST, "Work-Hint")
-    return Prompt(kind, headers.get("affinity-key", "")[:NAME_MOST], info.get("prefix", "")[:NAME_MOST], count("prompt_len"),
+    return Prompt(kind, short_name(headers.get("affinity-key", "")), short_name(info.get("prefix", "")), count("prompt_len"),
                   count("prefix_len"), count("max_out"), round(hint), round(left * 1e6), headers.get("tenant", ""))
 
 
@@ -111,7 +125,7 @@
     body = bytes(exchange.body)
     try:
         _body.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):  # the last: nested too deep
         raise NoRequest(400, "the body is no JSON object") from None
     own = OWN_HEADERS | {name.strip().lower() for name in headers.get("connection", "").split(",")}
     passed = tuple((name, value) for name, value in headers.items() if name not in own)
@@ -165,20 +179,21 @@
         types: traffic types that settings name.
         descriptors: of the process, as shared out.
         log: of the node.
+        resources: of the process: memory, turns of the loop.
     """
 
     def __init__(self, router: Router, types: Iterable[str], descriptors: Descriptors, clock: IReactorTime,
-                 log: Callable[..., None]) -> None:
+                 log: Callable[..., None], resources: ServerResources) -> None:
         self.router, self.types, self.descriptors, self.clock, self.log = router, frozenset(types), descriptors, clock, log
         bounds = Bounds(body=BODY_MOST, request_s=OPENING_S, idle_s=KEPT_S, first_s=OPENING_S, opening_s=OPENING_S,
-                        waiting=BODY_MOST, linger_s=LINGER_S)
-        self.factory = ServerFactory(clock, bounds, self._asked, self)
+                        waiting=BODY_MOST, linger_s=LINGER_S, paced=True, read=READ_MOST)
+        self.factory = ServerFactory(clock, bounds, self._asked, self, resources=resources)
         self.factory.on_closing = self._closing
         self.ready = self.stopping = False
         self.turned_away = self.shed = 0
         self.port: IListeningPort | None = None
         self._early: dict[str, Early] = {}  # came before the list was known
-        self._over: OrderedDict[str, None] = OrderedDict()
+        self._over: dict[int, None] = {}
         self._look: IDelayedCall | None = None
 
     @property
@@ -210,7 +225,7 @@
         try:
             id, request = request_of(exchange, self.types)
             request = self._with_time_left(exchange, request)
-            if id in self.router.flights or id in self._over or id in self._early:
+            if id in self.router.flights or digest(id) in self._over or id in self._early:
                 raise NoRequest(409, "this Request-Id has come before")
         except NoRequest as wrong:
             self.turned_away += 1
@@ -267,9 +282,14 @@
 
     def over(self, id: str) -> None:
         """A sequence has its final answer, or its client left."""
-        self._over[id] = None
+        self._over[digest(id)] = None
         if len(self._over) > REMEMBERED:
-            self._over.popitem(last=False)
+            del self._over[next(iter(self._over))]
+
+    @property
+    def remembered_bytes(self) -> int:
+        """Memory that the ids of requests that are over hold."""
+        return REMEMBERED_BYTES * len(self._over)
 
     def _left(self, id: str, ended_at: float | None) -> None:
         self.over(id)
@@ -317,10 +337,9 @@
         self._calm(self.descriptors.note("clients", len(self.factory.connections)))
 
     def _calm(self, state: Calm) -> None:
-        if state is not Calm.OPEN:
-            self._shed()
-            if self._look is None or not self._look.active():
-                self._look = self.clock.callLater(LOOK_EVERY, self._note)
+        if state is not Calm.OPEN and (self._look is None or not self._look.active()):
+            self._look = self.clock.callLater(LOOK_EVERY, self._note)
+            self._shed()  # not for each connection that comes or goes: it looks at all of them
         if accepts(self.port, state is not Calm.SHUT) and state is Calm.SHUT:
             self.log("not accepting", level="warning", reason=f"{self.composition()}, of {self.descriptors.most_clients}")
 
@@ -332,14 +351,27 @@
         return f"{len(here)} client connections ({strangers} strangers; {states})"
 
     def _shed(self) -> None:
-        """Strangers that ask nothing since their chance go at once, all of them: the usual clients stand in one queue with
-        whoever connects by the hundreds, and wait until those before them are in. Then who has been idle for longest, as far
-        as room is wanted. Whose bytes the loop has not come to yet has spoken."""
-        now, strangers, known = self.clock.seconds(), [], []
-        for c in self.factory.connections:
-            if c.state is At.IDLE and now - c.idle_since >= (CHANCE_S if c.ticket is None else IDLE_S) and not c.unread:
-                (strangers if c.ticket is None else known).append(c)
+        """Who has been idle for longest goes first, as far as room is wanted. While nobody is accepted, strangers give way too: all that ask
+        nothing since their chance, as the usual clients stand in one queue with whoever connects by the hundreds, and those that have
+        sent a part of a request for long. Whose bytes the loop has not come to yet has spoken."""
+        now, shut = self.clock.seconds(), self.descriptors.state is Calm.SHUT
+        wanted = self.descriptors.room()
+        strangers = [c for c in self._idle(now, CHANCE_S) if c.ticket is None] if shut else []
+        known = [c for c in self._idle(now, IDLE_S) if c.ticket is not None]
         known.sort(key=lambda c: c.idle_since)
-        for connection in strangers + known[:max(0, self.descriptors.room() - len(strangers))]:
+        for connection in strangers + known[:max(0, wanted - len(strangers))]:
             self.shed += 1
             connection.shed()
+        if shut and wanted > len(strangers) + len(known):
+            self._shed_readers(now, wanted - len(strangers) - len(known))
+
+    def _idle(self, now: float, for_s: float) -> list[ServerConnection]:
+        return [c for c in self.factory.connections if c.state is At.IDLE and now - c.idle_since >= for_s and not c.unread]
+
+    def _shed_readers(self, now: float, wanted: int) -> None:
+        """Strangers whose first request has not come whole in a time in which a slow sound client sends it."""
+        slow = [c for c in self.factory.connections if c.silent and c.state is At.READING and not c.refused_already and now - c.opened_at >= PART_CHANCE_S]
+        slow.sort(key=lambda c: c.opened_at)
+        for connection in slow[:wanted]:
+            self.shed += 1
+            connection.shed_part()
--- a/aniserudder/platform/control_call.py
+++ b/aniserudder/platform/control_call.py
@@ -3,7 +3,8 @@
 
 from collections.abc import Callable
 
-EVENT_MOST = 65_536  # bytes of one event, and of one small answer
+EVENT_MOST = 65_536  # bytes of one event, and of the answer of a read
+SMALL_MOST = 4_096   # bytes that are kept of the answer to a small call
 
 
 class ControlCall:
@@ -18,7 +19,7 @@
         self.status = status
 
     def body(self, data: bytes) -> None:
-        self.data = (self.data + data)[:EVENT_MOST]
+        self.data += data[:SMALL_MOST - len(self.data)]
 
     def complete(self) -> None:
         self.finish(self.status)
--- a/aniserudder/platform/discovery.py
+++ b/aniserudder/platform/discovery.py
@@ -12,6 +12,7 @@
 import msgspec
 from twisted.internet.interfaces import IDelayedCall, IReactorTCP
 
+from ..admission.memory import MemoryBudget, Purpose
 from ..core.router import Router
 from ..core.start_times import StartTimes
 from ..decisions.interface import Availability, RosterRow
@@ -101,13 +102,15 @@
         address: of the agent.
         grace: seconds in which a drain has to be heeded; 0: settings do not say.
         on_first: called once, when discovery has answered for the first time.
+        budget: of the process's memory.
         wall: seconds since 1970, the clock on which lists tell engines' starts.
     """
 
     def __init__(self, router: Router, connections: Connections, address: tuple[str, int], grace: float, reactor: IReactorTCP,
-                 log: Callable[..., None], on_first: Callable[[], None], wall: Callable[[], float] = time.time) -> None:
+                 log: Callable[..., None], on_first: Callable[[], None], budget: MemoryBudget, wall: Callable[[], float] = time.time) -> None:
         self.router, self.connections, self.address, self.reactor, self.log = router, connections, address, reactor, log
         self.on_first: Callable[[], None] | None = on_first
+        self.budget = budget
         self.again = min(ANSWER_S, grace or ANSWER_S) / TRIES_IN_GRACE
         self.start_times = StartTimes(reactor.seconds, wall)
         self.revision = -1
@@ -252,11 +255,12 @@
 class _Call:
     """One call and its answer (``wire.client.Exchange``), bounded in time."""
 
-    __slots__ = ("owner", "connection", "status", "data", "began", "patience_s", "hold_s", "due", "timer", "over")
+    __slots__ = ("owner", "connection", "status", "data", "began", "patience_s", "hold_s", "due", "timer", "over", "memory")
 
     def __init__(self, owner: Discovery, patience: float, hold_s: float = 0.0) -> None:
         self.owner, self.status, self.data, self.over = owner, 0, bytearray(), False
         self.began, self.patience_s, self.hold_s = owner.reactor.seconds(), patience, hold_s
+        self.memory = owner.budget.account(Purpose.LISTS)
         self.connection: ClientConnection | None = None
         self.due = owner.reactor.seconds() + patience
         self.timer = owner.reactor.callLater(patience, self._silent)
@@ -271,7 +275,8 @@
 
     def body(self, data: bytes) -> None:
         self.data += data
-        if len(self.data) > LIST_MOST:
+        self.memory.hold(len(self.data))
+        if len(self.data) > LIST_MOST or self.memory.budget.held[Purpose.LISTS] > self.memory.budget.limit / 2:
             self.failed("an answer is too long")
 
     def complete(self) -> None:
@@ -289,6 +294,8 @@
     def end(self) -> None:
         """Nothing more is heard of this call."""
         self.over = True
+        self.memory.release()
+        self.data.clear()
         if self.timer.active():
             self.timer.cancel()
         if self.connection:
--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -23,6 +23,7 @@
 
 from twisted.internet.interfaces import IReactorTCP
 
+from ..admission.memory import MemoryBudget
 from ..core.invariants import InvariantMonitor
 from ..core.lag import Lag
 from ..core.ports import Attempt
@@ -38,6 +39,7 @@
 
 RESERVATIONS, STATS = "/internal/reservations", "/stats"
 CHUNK_MOST = 262_144     # bytes of one chunk: a body holds no more
+READ_MOST = 16_384       # bytes that are read of an answer at a time
 IDLE_PART = 0.6          # of the time after which engines close idle connections
 SETTLE_S = 0.05          # STANDING: a second answer may come some milliseconds late
 RELEASES_LEAST = 48      # connections that attempts leave for releases, as many as these have at a time
@@ -55,12 +57,14 @@
         facts: of the deployment.
         most: connections in all.
         log: of the node.
+        budget: of the process's memory; None: one of its own.
     """
 
-    def __init__(self, reactor: IReactorTCP, facts: Facts, most: int, log: Callable[..., None]) -> None:
+    def __init__(self, reactor: IReactorTCP, facts: Facts, most: int, log: Callable[..., None],
+                 budget: MemoryBudget | None = None) -> None:
         super().__init__(reactor, Keeping(facts.connect / 1e6, IDLE_PART * facts.idle / 1e6, IDLE_MOST, most, CHUNK_MOST,
-                                          settle_s=SETTLE_S, urgent=min(RELEASES_LEAST, max(0, most - ATTEMPTS_LEAST))))
-        self.log = log
+                                          settle_s=SETTLE_S, urgent=min(RELEASES_LEAST, max(0, most - ATTEMPTS_LEAST)), read_most=READ_MOST))
+        self.log, self.budget = log, budget or MemoryBudget()
         self.runs: dict[str, AttemptExchange] = {}         # by sequence: one schedule attempt at a time
         self.lag = Lag()                        # the node's takes its place
         self.traces = False                     # whether lines of level debug are wanted
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -20,14 +20,17 @@
 
 from .. import logs
 from ..admission.descriptors import Descriptors
+from ..admission.memory import MemoryBudget, Purpose
+from ..admission.turns import RefusalPace, TurnQueue
 from ..core.router import Router
 from ..decisions.interface import Role
 from ..wire.listening import SYSTEM, Acceptor
+from ..wire.server import ServerResources
 from . import config
 from .clients import LINGER_S, OPENING_S, Clients
 from .discovery import Discovery
 from .engines import PlatformEngines
-from .process_memory import MemoryGauge
+from .process_memory import MemoryGauge, return_freed_memory
 from .signals import Signals
 
 LEVEL = "NODE_LOG_LEVEL"   # variable: debug, info, warning or error
@@ -46,6 +49,7 @@
 RELEASE_MOST_S = 30.0      # that it stays for a release that no engine has confirmed
 LISTEN_AGAIN_S, LISTEN_FOR_S = 0.1, 10.0  # an address may still be the last process's, and memory short for a moment
 LISTEN_ERRORS = SYSTEM | {errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EINTR}
+RECORD_BYTES = 1_536       # of a reservation that is followed, and of what the monitor knows of its request
 LINES_PER_S = 10           # of the log, and three times as many saved up
 
 
@@ -63,15 +67,18 @@
         self.memory = MemoryGauge(conf.memory)
         limit = min(conf.descriptors, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         own = limit - round(CLIENTS_PART * limit)
-        self.engines = PlatformEngines(reactor, conf.facts, max(8, own - ENGINES_LESS), log)
+        self.budget = MemoryBudget(conf.memory, self.memory.sample())
+        self.engines = PlatformEngines(reactor, conf.facts, max(8, own - ENGINES_LESS), log, self.budget)
         self.router = Router(conf.settings, conf.seed, self.engines, reactor, log=log, name=conf.name)
-        self.clients = Clients(self.router, (t.name for t in conf.settings.types), Descriptors(limit, own), reactor, log)
+        self.resources = ServerResources(self.budget, TurnQueue(reactor), RefusalPace(reactor), log)
+        self.clients = Clients(self.router, (t.name for t in conf.settings.types), Descriptors(limit, own), reactor, log, self.resources)
         self.engines.on_exhausted = self.clients.exhausted
         self.router.client_here = self.clients.here
         self.router.read_answer = self.engines.read_answer
         self.engines.invariants, self.engines.lag = self.router.invariants, self.router.lag
         self.discovery = Discovery(self.router, self.engines, conf.discovery, conf.facts.drain_grace / 1e6, reactor, log,
-                                   self._ready)
+                                   self._ready, self.budget)
+        self._tables = self.budget.account(Purpose.TABLES)
         self._port: IListeningPort | None = None
         self._acceptor: Acceptor | None = None
         self._door_until = 0.0  # seconds; a stopping node's listener closes then, whoever waits
@@ -207,12 +214,16 @@
             self.clients.open()
             gc.collect()
             gc.freeze()  # what is here now stays: no collection need look at it again
+            if not self.clients.factory.connections:  # else a part of what is held is theirs
+                self.budget.own_is(self.memory.sample())
             self.log("ready", level="info", reason=f"{len(self.discovery.listed)} engines, {self.memory.line()}")
 
     def _late(self, due: float) -> None:
         self.reactor.callLater(LATE_EVERY_S, self._late, self.reactor.seconds() + LATE_EVERY_S)
         late = self.reactor.seconds() - due
         self.memory.sample()
+        self._tables.hold(self.clients.remembered_bytes + self.router.node.remembered_bytes
+                          + RECORD_BYTES * len(self.engines.reservations.records))
         if self.discovery.start_times.sample():
             self.log("wall clock stepped", level="warning", reason=f"{self.discovery.start_times.steps} offsets seen so far")
         self.router.lag.loop_late(late)
@@ -227,7 +238,7 @@
         counts = self.router.counts
         level = "warning" if self.router.lag.loop_s > LATE_S else "info"
         self.log("figures", level=level, reason=(
-            f"{self.router.lag.line()}, {self.memory.line()}, {self.clients.composition()}, engine "
+            f"{self.router.lag.line()}, {self.memory.line()}, {self.budget.line()}, {self.resources.turns.line()}, {self.clients.composition()}, engine "
             f"connections {self.engines.open}, sequences {len(self.router.flights)}, reads {reads} believed {sum(runs)} out, streams "
             f"{believed} believed {len(runs) - sum(runs)} out; taken {counts.taken}, generated {counts.generated}, rejected "
             f"{counts.rejected}, aborted {counts.aborted}, left {counts.left}, turned away {self.clients.turned_away}, shed "
@@ -289,6 +300,7 @@
     """
     from ..eventloop import reactor
     signals = signals or Signals().heed()
+    return_freed_memory()
     try:
         path = config.path_of()
         signals.forget(signal.SIGHUP)  # the file is read now
--- a/aniserudder/platform/process_memory.py
+++ b/aniserudder/platform/process_memory.py
@@ -5,13 +5,18 @@
 """
 from __future__ import annotations
 
+import ctypes
 import resource
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
+from ..admission.memory import MEGABYTE
+
 STATM = Path("/proc/self/statm")
-MEGABYTE = 1 << 20
+M_TRIM_THRESHOLD, M_MMAP_THRESHOLD = -1, -3  # malloc.h
+LARGE_BLOCK = 32_768  # bytes; from this size on a block has pages of its own
+KEPT_FREE = 131_072   # bytes at the top of the heap
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,6 +37,17 @@
     return ProcessMemory(int(resident) * page, (int(resident) - int(shared)) * page)
 
 
+def return_freed_memory() -> None:
+    """Has the C library give large blocks back to the system as soon as they are freed, whatever was freed before (mallopt(3)).
+
+    Left to itself it keeps ever larger blocks for itself, and what a crowd has left behind stays with the process.
+    """
+    mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
+    if mallopt:
+        mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK)
+        mallopt(M_TRIM_THRESHOLD, KEPT_FREE)
+
+
 class MemoryGauge:
     """Follows the anonymous memory of the process, and the most of it since it was told last.
 
--- a/aniserudder/standins/listener.py
+++ b/aniserudder/standins/listener.py
@@ -48,7 +48,7 @@
 
 class Factory(ServerFactory):
     def make(self) -> HeldConnection:
-        return HeldConnection(self.clock, self.bounds, self.handle, self._gone, self._closing)
+        return HeldConnection(self.clock, self.bounds, self.handle, self._gone, self._closing, self.resources)
 
 
 class Listener:
--- a/aniserudder/wire/client.py
+++ b/aniserudder/wire/client.py
@@ -53,19 +53,20 @@
         on_free: told when an answer is complete and the connection may be used again.
         on_gone: told once, when the connection is closed.
         chunk_most: bytes of one chunk of an answer; a longer one breaks HTTP. 0: any.
+        read_most: bytes that are read at a time. 0: as the reactor has it.
     """
 
     noisy = False
 
     def __init__(self, host: str, on_free: Callable[[ClientConnection], None],
-                 on_gone: Callable[[ClientConnection], None], chunk_most: int = 0) -> None:
+                 on_gone: Callable[[ClientConnection], None], chunk_most: int = 0, read_most: int = 0) -> None:
         self.host, self.state = host, At.IDLE
         self.place: object = None  # whose connection it is; set by its owner
         self.rested = -1.0         # seconds that it had been idle when it was last taken up; -1: it is fresh
         self.flushed = True        # the kernel has taken every byte of the request
         self._written = False
         self.headers: dict[bytes, bytes] = {}  # of the answer that is being read, names in lower case
-        self._chunk_most = chunk_most
+        self._chunk_most, self._read_most = chunk_most, read_most
         self._chunks: ChunkedBody | None = None  # the body that is being read, where it comes in chunks
         self._keeps_alive = False  # the answer's head allows another exchange behind it
         self._on_free, self._on_gone = on_free, on_gone
@@ -80,6 +81,8 @@
     def connectionMade(self) -> None:
         with suppress(OSError):  # it is of use, not needed
             self.transport.setTcpNoDelay(True)
+        if self._read_most:
+            self.transport.bufferSize = self._read_most
         self.on_made(self)
 
     # What the transport asks of whoever has more to write (``IPullProducer``): when the last byte has left.
--- a/aniserudder/wire/connections.py
+++ b/aniserudder/wire/connections.py
@@ -106,7 +106,7 @@
     """How connections are made and kept: seconds for making one and for keeping an idle one, idle ones of a server,
     connections in all (0: any), bytes of one chunk (0: any), local address (empty: any), seconds that one rests after an
     answer before it is used again: what a server sends behind an answer must not pass for the next one's, connections of those
-    in all that are kept for urgent calls."""
+    in all that are kept for urgent calls, bytes that are read at a time (0: as the reactor has it)."""
     connect_s: float
     idle_s: float
     idle_most: int
@@ -115,6 +115,7 @@
     bind: str = ""
     settle_s: float = 0.0
     urgent: int = 0
+    read_most: int = 0
 
 
 @dataclass(slots=True)
@@ -245,7 +246,8 @@
 
     def _connect(self, place: Place) -> Deferred[ClientConnection]:
         def build() -> ClientConnection:
-            return ClientConnection(f"{place.host}:{place.port}", self.free, self._gone, self.keeping.chunk_most)
+            return ClientConnection(f"{place.host}:{place.port}", self.free, self._gone, self.keeping.chunk_most,
+                                    self.keeping.read_most)
 
         timeout_s = CONNECT_BACKSTOP * self.keeping.connect_s
         if place.host.replace(".", "").isdigit():
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -19,10 +19,17 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from ..admission.memory import Account, MemoryBudget, Purpose
+from ..admission.turns import RefusalPace, Spender, TurnQueue
 from . import text
 from .tcp_info import data_age, end_age
 
 SHED_LINGER_S = 0.001  # between the end of sending and the close of a connection whose descriptor is wanted
+CONNECTION_BYTES = 6_144  # of objects and buffers that each connection holds
+REQUEST_BYTES, FIELD_BYTES = 1_024, 256  # of objects that a request holds, and each field of its head
+TAKEN_BYTES = 10_240      # of objects that one under way holds besides, its connection to an engine among them
+TRANSPORT_BYTES = 65_536  # that wait in a transport before it pauses, unless told otherwise
+FRAMING_PER_BYTE = 8  # bytes around one of a body, in the smallest chunks
 AHEAD = 4  # whole requests that a client may send before it is answered
 
 
@@ -45,13 +52,15 @@
     SHED = "its descriptor was needed"
     STOPPING = "the server stops"
     CUT_OFF = "cut off"
+    NO_MEMORY = "memory was needed for others"
+    FAILED = "its request could not be handled"
 
 
 @dataclass(slots=True, frozen=True)
 class Bounds:
     """What a connection may take: bytes of head and body, seconds for a request, between two and before the
     first, bytes waiting."""
-    head: int = 16_384
+    head: int = 16_384     # and of the trailer section behind a body
     body: int = 1_048_576
     request_s: float = 5.0
     idle_s: float = 60.0
@@ -60,6 +69,9 @@
     send_buffer: int = 0   # bytes of the kernel's send buffer, and as many of our own; 0: as the system has it
     opening_s: float = 0.0  # from connecting until its first request is whole; 0: bounded by the others alone
     linger_s: float = 0.0  # for the client's end after ours, reading on; 0: closed at once, over whatever is unread
+    paced: bool = False    # answers to what cannot be taken wait while many of them go out
+    fields: int = 100      # of a head
+    read: int = 0          # bytes that are read and written at a time, and wait in the transport before it pauses; 0: as it has them
 
 
 class Exchange:
@@ -69,7 +81,7 @@
     ``Bounds.waiting`` bytes wait for it. ``room`` is called whenever the connection has sent all that waited.
     """
 
-    __slots__ = ("method", "path", "headers", "body", "gone", "room", "began", "old", "last", "arrived_at", "lay_s", "_connection", "_last")
+    __slots__ = ("method", "path", "headers", "body", "gone", "room", "began", "old", "last", "arrived_at", "lay_s", "memory", "_connection", "_last")
 
     def __init__(self, connection: ServerConnection) -> None:
         self.method = self.path = ""
@@ -81,6 +93,7 @@
         self.began = False
         self.lay_s = 0.0       # seconds that its last byte lay unread
         self.arrived_at = 0.0  # seconds of the server's clock; when its last byte came to this system
+        self.memory: Account = connection.budget.account(Purpose.REQUESTS)  # until it is answered
         self._connection: ServerConnection | None = connection
         self._last: ServerConnection | None = None
 
@@ -125,6 +138,7 @@
     def end(self) -> None:
         """The answer is complete."""
         connection, self._connection = self._connection, None
+        self.memory.release()
         if connection:
             self._last = connection
             connection.finished()
@@ -137,17 +151,20 @@
     def break_off(self) -> None:
         """Ends the connection behind what was written, without the answer's end."""
         connection, self._connection = self._connection, None
+        self.memory.release()
         if connection:
             connection.break_off()
 
     def cut(self) -> None:
         """Closes the connection in the middle of things, without a word."""
         connection, self._connection = self._connection, None
+        self.memory.release()
         if connection:
             connection.abort()
 
     def _lost(self, reason: str) -> None:
         self._connection = None
+        self.memory.release()
         gone, self.gone = self.gone, None
         if gone:
             gone(reason)
@@ -161,7 +178,12 @@
 
     def __init__(self, clock: IReactorTime, bounds: Bounds, handle: Callable[[Exchange], None],
                  on_gone: Callable[[ServerConnection], None],
-                 on_closing: Callable[[ServerConnection, CloseReason, int], None]) -> None:
+                 on_closing: Callable[[ServerConnection, CloseReason, int], None], resources: ServerResources) -> None:
+        self.budget, self._turns, self._pace, self._log = resources.memory, resources.turns, resources.pace, resources.log
+        self._spender = Spender()
+        self._own = self.budget.account(Purpose.CONNECTIONS)
+        self._part = self.budget.account(Purpose.REQUEST_PARTS, self._part_gives_way)
+        self._unread = self.budget.account(Purpose.UNREAD_ANSWERS, lambda: self._cut_off(CloseReason.SLOW_READER))
         self.clock, self.bounds, self.handle, self.on_gone, self.on_closing = clock, bounds, handle, on_gone, on_closing
         self.state, self.closing, self.peer = At.IDLE, False, ""
         self.ticket: object = None       # the door's, where there is one
@@ -174,13 +196,18 @@
         self._building: Exchange | None = None        # whose request is being read
         self._whole: deque[Exchange] = deque()        # read while an answer was owed
         self._wrong: tuple[int, str] | None = None    # why the request being read cannot be taken
-        self._refusal: tuple[int, str] | None = None  # the same, while answers before it are still owed
-        self._refusal_timer: IDelayedCall | None = None
+        self._refusal: tuple[int, str, CloseReason] | None = None  # the same, while answers before it are still owed
+        self._queued = False  # the next request waits for its turn
+        self._excess = 0       # whole requests beyond those that may wait: each is refused
+        self._refused = False  # the last answer waits until it may go out, or is out
+        self._answer_now: Callable[[], None] | None = None  # sends the last answer that waits
         self.close_reason: CloseReason | None = None  # None: it is open
         self._head_bytes = 0
+        self._framing_bytes = 0          # of the request that is being read: all but its body
+        self._fields = 0
         self._chunked = self._bodiless = False
         self._timer: IDelayedCall | None = None
-        self._waiting: list[bytes] = []
+        self._waiting: deque[bytes] = deque()
         self._waits = 0
         self._linger_s = bounds.linger_s
         self.paused = False
@@ -218,22 +245,34 @@
         with suppress(OSError):  # it is of use, not needed
             self.transport.setTcpNoDelay(True)
         self.opened_at = self.idle_since = self.clock.seconds()
+        if self.bounds.read:
+            self.transport.bufferSize = self.bounds.read
         if self.bounds.send_buffer:  # what a slow client leaves there nobody can take back
             self.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.bounds.send_buffer)
             self.transport.bufferSize = self.bounds.send_buffer
         self.transport.registerProducer(self, True)
         self.peer = self.transport.getPeer().host
+        self._own.hold(CONNECTION_BYTES)
         self._change(At.IDLE)
         if self.gate:  # not before there is a transport: it may be shed at once
             self.gate.opened(self)
 
     def dataReceived(self, data: bytes) -> None:
-        if self.state is At.CLOSED or self._refusal:
+        if self.state is At.CLOSED or self._refused or self._refusal and not self._excess:
             return
         if self.state is At.IDLE:
             self._change(At.READING)
+        self._feed(data)
+        if self._wrong:
+            return self._refuse(*self._wrong)
+        self._part.hold(self._part_bytes)  # which may end this very request
+        if self.state is At.READING and self._whole and not self._queued:
+            self._queue()
+
+    def _feed(self, data: bytes) -> None:
         if self._building is None or not self._building.method:
             self._head_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -242,10 +281,8 @@
             self._wrong = self._wrong or (400, f"no HTTP: {wrong}")
         if self._head_bytes > self.bounds.head:
             self._wrong = self._wrong or (431, f"more than {self.bounds.head} bytes of headers")
-        if self._wrong:
-            return self._refuse(*self._wrong)
-        if self.state is At.READING and self._whole:
-            self._take()
+        elif self._framing_bytes > self.bounds.head + FRAMING_PER_BYTE * self._body_bytes:
+            self._wrong = self._wrong or (400, "a body whose chunks or trailers have no end")
 
     def readConnectionLost(self) -> None:
         """The client ended its sending: it has left, or has heard our own end."""
@@ -263,22 +300,31 @@
 
     def connectionLost(self, reason: Failure) -> None:
         self._end(CloseReason.CLIENT_LEFT)
-        for timer in (self._timer, self._refusal_timer):
-            if timer and timer.active():
-                timer.cancel()
+        if self._timer and self._timer.active():
+            self._timer.cancel()
         self.on_gone(self)
+        self._let_go()
+
+    def _let_go(self) -> None:
+        """Ends what this connection and others hold of one another, so that its memory waits for no collection."""
+        for account in (self._own, self._part, self._unread):
+            account.release()
+            account.gives_way = None
+        self._parser = self._building = self._timer = self._answer_now = None
 
     def pauseProducing(self) -> None:
         self.paused = True
 
     def resumeProducing(self) -> None:
         self.paused = False
-        waiting, self._waiting, self._waits = self._waiting, [], 0
-        if waiting:
-            self.transport.write(b"".join(waiting))
+        while self._waiting and not self.paused:
+            piece = self._waiting.popleft()
+            self._waits -= len(piece)
+            self.transport.write(piece)
+        self._note_unread()
         if not self.paused and self._exchange and self._exchange.room:
             self._exchange.room()
-        if self.state is At.CLOSED:
+        if self.state is At.CLOSED and not self._waiting:
             self._end_sending()
 
     def stopProducing(self) -> None:
@@ -286,13 +332,31 @@
 
     # The parser.
 
+    @property
+    def _part_bytes(self) -> int:
+        """What the request that is being read holds in memory."""
+        if self._building is None:
+            return 0
+        return REQUEST_BYTES + FIELD_BYTES * self._fields + min(self._head_bytes, self.bounds.head) + len(self._building.body)
+
+    @property
+    def _body_bytes(self) -> int:
+        return len(self._building.body) if self._building else 0
+
     def on_message_begin(self) -> None:
         self._building = Exchange(self)
+        self._framing_bytes = self._fields = 0
 
     def on_url(self, url: bytes) -> None:
         self._building.path += url.decode("latin-1")
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._building.method:
+            return  # of the trailer section: nobody asked for any
+        self._fields += 1
+        if self._fields > self.bounds.fields:
+            self._wrong = (431, f"more than {self.bounds.fields} header fields")
+            raise httptools.HttpParserError  # llhttp reads no further
         self._building.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
@@ -306,9 +370,13 @@
             self.transport.write(text.CONTINUE)
 
     def on_body(self, data: bytes) -> None:
+        if self._excess:
+            return  # nobody will want it
+        if len(self._building.body) + len(data) > self.bounds.body:
+            self._wrong = (413, f"more than {self.bounds.body} bytes of body")
+            raise httptools.HttpParserError  # llhttp reads no further
         self._building.body += data
-        if len(self._building.body) > self.bounds.body:
-            self._wrong = self._wrong or (413, f"more than {self.bounds.body} bytes of body")
+        self._framing_bytes -= len(data)
 
     def on_message_complete(self) -> None:
         building, self._building = self._building, None
@@ -316,33 +384,94 @@
         handle = getattr(self.transport, "getHandle", None)
         building.lay_s = data_age(handle()) if handle else 0.0
         building.arrived_at = self.clock.seconds() - building.lay_s
-        self._whole.append(building)
-        if len(self._whole) > AHEAD:
+        if self._excess or len(self._whole) >= AHEAD:
+            self._excess += 1
             self._wrong = (429, f"more than {AHEAD} requests ahead of their answers")
+            return
+        building.memory.hold(REQUEST_BYTES + FIELD_BYTES * self._fields + len(building.body))
+        self._whole.append(building)
+
+    def _queue(self) -> None:
+        """The next request waits for its turn."""
+        self._queued = True
+        self._turns.submit(self._spender, self._take)
 
-    def _take(self) -> None:
-        self._exchange = self._whole.popleft()
-        self.closing = self.closing or self._exchange.last or self.refused is not None
+    def _take(self, examined: bool) -> None:
+        self._queued = False
+        if self.state is not At.READING or not self._whole:  # it ended while it waited
+            return
+        self._exchange = exchange = self._whole.popleft()
+        self.closing = self.closing or exchange.last or self.refused is not None
         self._asked = True
         self._change(At.BUSY)
-        self.handle(self._exchange)
-
-    def _refuse(self, status: int, reason: str) -> None:
-        """An answer to what is no proper request, and the end of the connection."""
-        if self.state is At.BUSY:
-            return self._refuse_later(status, reason)
-        self._exchange, self._building, self.closing = None, None, True
-        plain = reason.replace("\\", "'").replace('"', "'")[:200].encode("ascii", "replace")
-        body = b'{"type":"error","error":{"kind":"bad_request","message":"%b"}}' % plain
-        self.head(status, [("content-type", "application/json"), ("content-length", str(len(body)))])
-        self.data(body)
-        self._close(CloseReason.MALFORMED)
-
-    def _refuse_later(self, status: int, reason: str) -> None:
-        """What was asked before is answered first, within the time that one request may take. Nothing further is read."""
-        if self._refusal is None:
-            self._refusal = status, reason
-            self._refusal_timer = self.clock.callLater(self.bounds.request_s, self.abort)
+        if not examined:
+            return self._refuse_exchange(exchange, 503, "more requests come than can be taken up")
+        if not exchange.memory.hold(exchange.memory.size + TAKEN_BYTES + len(exchange.body)):  # as much again while it is passed on
+            return self._refuse_exchange(exchange, 503, "no memory is left for the request")
+        try:
+            self.handle(exchange)
+        except Exception as failure:  # whatever went wrong, its client is owed an answer
+            self._log("request failed", level="error", reason=f"{type(failure).__name__}: {failure}")
+            self._failed(exchange)
+
+    def _failed(self, exchange: Exchange) -> None:
+        if not exchange.open:
+            return
+        self.closing = True
+        if exchange.began:
+            return exchange.break_off()
+        self._refuse_exchange(exchange, 500, "the request could not be handled")
+
+    @staticmethod
+    def _refuse_exchange(exchange: Exchange, status: int, reason: str) -> None:
+        exchange.body = bytearray()
+        exchange.reply(status, text.error(reason))
+
+    @property
+    def refused_already(self) -> bool:
+        """Whether the answer that ends it waits, or is out."""
+        return self._refused
+
+    def _part_gives_way(self) -> None:
+        """Memory is wanted: the request that has come in part is refused."""
+        self._refuse(503, "no memory is left for a request that has come in part", CloseReason.NO_MEMORY)
+
+    def _refuse(self, status: int, reason: str, why: CloseReason = CloseReason.MALFORMED) -> None:
+        """An answer to what is no proper request, and the end of the connection. What was asked before is answered first."""
+        self.closing = True
+        if not self._excess:  # else the next ones are counted
+            self._building = None
+        self._part.release()
+        burst = self._excess and self.state is At.READING  # nothing of it was begun: all of it is refused alike
+        if self.state is At.BUSY or self._whole and not burst:
+            self._refusal = self._refusal or (status, reason, why)
+            if self.state is At.READING and not self._queued:
+                self._queue()
+            return
+        count = max(1, len(self._whole) + self._excess)
+        for exchange in self._whole:
+            exchange.memory.release()
+        self._exchange, self._refused, self._excess = None, True, 0
+        self._whole.clear()
+        most_s = self.opened_at + self.bounds.opening_s - self.clock.seconds() if self.bounds.paced else 0.0
+        delay = self._pace.delay(most_s) if most_s > 0 else 0.0
+        if delay <= 0:
+            return self._answer_refusal(status, reason, why, count)
+        self.transport.pauseProducing()  # what it sends meanwhile waits in the kernel
+        self._answer_now = lambda: self._answer_refusal(status, reason, why, count)
+        self._bound(delay, self._answer_now)
+
+    def _answer_refusal(self, status: int, reason: str, why: CloseReason, count: int) -> None:
+        if self.state is At.CLOSED:
+            return
+        self._answer_now = None
+        self.transport.resumeProducing()
+        body = text.error(reason)
+        for number in range(count):
+            self.closing = number == count - 1
+            self.head(status, [("content-type", "application/json"), ("content-length", str(len(body)))])
+            self.data(body)
+        self._close(why)
 
     # Answers.
 
@@ -376,26 +505,33 @@
             return self._close(CloseReason.LAST_ANSWER)
         self._change(At.READING if self._building or self._whole else At.IDLE)
         if self._whole:  # the next request is here already
-            self.clock.callLater(0, self._next)
-
-    def _next(self) -> None:
-        if self.state is At.READING and self._whole:
-            self._take()
+            self._queue()
 
     def _write(self, data: bytes) -> None:
-        if not self.paused:
-            return self.transport.write(data)
-        self._waiting.append(data)
-        self._waits += len(data)
+        size = self.bounds.read or len(data)
+        for at in range(0, len(data), size):
+            piece = data[at:at + size]
+            if self.paused:
+                self._waiting.append(piece)
+                self._waits += len(piece)
+            else:
+                self.transport.write(piece)
         if self._waits > self.bounds.waiting:
-            self._end(CloseReason.SLOW_READER)
-            self.transport.abortConnection()
+            return self._cut_off(CloseReason.SLOW_READER)
+        self._note_unread()
+
+    def _note_unread(self) -> None:
+        """What waits for the client, here and in the transport; noting it may end this very connection."""
+        if self.paused or self._unread.size:
+            self._unread.hold(self._waits + 2 * (self.bounds.read or TRANSPORT_BYTES) if self.paused else 0)
 
     # Ends.
 
     def stop(self) -> None:
         """Takes no further request; what is owed is still answered, and what came before this was known is answered too."""
         self.closing = True
+        if self._answer_now:
+            return self._answer_now()
         if self.state is At.IDLE and not self.unread or self.state is At.READING and not self._whole:
             self._close(CloseReason.STOPPING)
 
@@ -404,12 +540,23 @@
         self.closing = True
         self._close(CloseReason.SHED, SHED_LINGER_S)
 
+    def shed_part(self) -> None:
+        """Makes room: the request that has come in part is refused, and what it waits for is not."""
+        if not self._refused and not self._whole:
+            self._refuse(408, "the request was not complete while others waited to connect", CloseReason.SHED)
+
     def break_off(self) -> None:
         self._exchange = None
         self._close(CloseReason.INCOMPLETE_ANSWER)
 
     def abort(self) -> None:
-        self._end(CloseReason.CUT_OFF)
+        self._cut_off(CloseReason.CUT_OFF)
+
+    def _cut_off(self, reason: CloseReason) -> None:
+        self._waiting.clear()
+        self._waits = 0
+        self._unread.release()
+        self._end(reason)
         self.transport.abortConnection()
 
     def _close(self, reason: CloseReason, linger_s: float | None = None) -> None:
@@ -442,7 +589,10 @@
         self._change(At.CLOSED)
         exchange, self._exchange = self._exchange, None
         owed = len(self._whole) + (exchange is not None)
+        for waiting in self._whole:
+            waiting.memory.release()
         self._whole.clear()
+        self._part.release()
         self.on_closing(self, reason, owed)
         if exchange:
             exchange._lost(reason.value)
@@ -462,6 +612,8 @@
         self._timer = self.clock.callLater(limit, self._late) if limit else None
 
     def _late(self) -> None:
+        if self._queued:
+            return  # its request is whole, and waits for its turn
         if self.state is At.READING and self.unread and not self._looked_again:
             self._looked_again = True  # the rest may have come in time, and the loop late
             self.transport.doRead()
@@ -485,13 +637,24 @@
     def gone(self, connection: ServerConnection) -> None: ...
 
 
+@dataclass(slots=True)
+class ServerResources:
+    """What the connections of a server share: each process has one of each."""
+
+    memory: MemoryBudget
+    turns: TurnQueue
+    pace: RefusalPace
+    log: Callable[..., None] = lambda event, **fields: None
+
+
 class ServerFactory(Factory):
     """Makes and counts connections. With a gate, those alone that it lets in or wants answered."""
 
     noisy = False
 
     def __init__(self, clock: IReactorTime, bounds: Bounds, handle: Callable[[Exchange], None],
-                 gate: Gate | None = None, refused: Bounds | None = None) -> None:
+                 gate: Gate | None = None, refused: Bounds | None = None, resources: ServerResources | None = None) -> None:
+        self.resources = resources or ServerResources(MemoryBudget(), TurnQueue(clock), RefusalPace(clock))
         self.clock, self.bounds, self.handle, self.gate = clock, bounds, handle, gate
         self.refused_bounds = refused or bounds
         self.connections: dict[ServerConnection, None] = {}
@@ -513,7 +676,7 @@
         return connection
 
     def make(self) -> ServerConnection:
-        return ServerConnection(self.clock, self.bounds, self.handle, self._gone, self._closing)
+        return ServerConnection(self.clock, self.bounds, self.handle, self._gone, self._closing, self.resources)
 
     def _closing(self, connection: ServerConnection, reason: CloseReason, owed: int) -> None:
         """``owed``: requests that were read on it and have no whole answer."""
--- a/aniserudder/wire/text.py
+++ b/aniserudder/wire/text.py
@@ -8,6 +8,7 @@
 
 UNSAFE = re.compile(r"[\r\n\0]")  # a value that held a line's end could smuggle a header in
 REASONS = {s.value: s.phrase for s in HTTPStatus}
+REASON_MOST = 200  # characters of one that is told to a client
 LAST_CHUNK = b"0\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -33,6 +34,12 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+def error(reason: str) -> bytes:
+    """The body of an answer to what is no proper request."""
+    plain = reason.replace("\\", "'").replace('"', "'")[:REASON_MOST].encode("ascii", "replace")
+    return b'{"type":"error","error":{"kind":"bad_request","message":"%b"}}' % plain
+
+
 def _lines(headers: Headers) -> list[str]:
     return [f"{name}: {UNSAFE.sub(' ', value)}\r\n" for name, value in headers]
 
