Taking up requests leaves the loop to other sockets; a soak of crowds at the least memory

Beside 315 clients that ask again at once, usual clients were late at a fifth of a core: a turn spent 5 ms of processor time on taking up requests (25 ms there) for each 16 sockets, and each flooding connection's socket woke the loop anew.

Refusals of a burst cost no parsing of their heads, and count as more connections in the pace.

--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -897,7 +897,7 @@
 @click.option("--keep", default="", type=click.Path(file_okay=False), help="Keep all processes' logs there; it must hold no earlier ones.")
 @click.option("--copies", type=click.IntRange(1, 2000), help="Ids under which each of the seven engines is listed; else by seed.")
 @click.option("--clients", type=click.IntRange(1, 200), help="Clients in each of three processes; else by seed.")
-@click.option("--profile", default="mixed", show_default=True, type=click.Choice(["mixed", "partitions", "restarts"]), help="What faults there are most of.")
+@click.option("--profile", default="mixed", show_default=True, type=click.Choice(["mixed", "partitions", "restarts", "crowds"]), help="What faults there are most of.")
 def soak(first: int, count: int, seconds: float, keep: str, copies: int | None, clients: int | None, profile: str) -> None:
     """Play randomized faults on platform nodes, engines, proxies and clients, each a process on loopback; exit 1 if a rule was broken."""
     from ..cli.soak import show
--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -189,6 +189,7 @@
                         waiting=BODY_MOST, linger_s=LINGER_S, paced=True, read=READ_MOST)
         self.factory = ServerFactory(clock, bounds, self._asked, self, resources=resources)
         self.factory.on_closing = self._closing
+        resources.patience = self._patience
         self.ready = self.stopping = False
         self.turned_away = self.shed = 0
         self.port: IListeningPort | None = None
@@ -244,6 +245,15 @@
             self._early[id] = Early(exchange, request, self.clock.seconds(), self.clock.callLater(
                 request.prompt.time_left / 1e6, self._refuse, id, exchange, "the node has only just begun"))
 
+    def _patience(self, exchange: Exchange) -> float:
+        """Seconds that the client of a request waits from now on, as far as it tells."""
+        told = exchange.headers.get("request-timeout", "")
+        try:
+            seconds = float(told)
+        except ValueError:
+            return 0.0
+        return max(0.0, seconds - (self.clock.seconds() - exchange.arrived_at)) if 0 < seconds < LONGEST / 1e6 else 0.0
+
     def _with_time_left(self, exchange: Exchange, request: Request) -> Request:
         """A request that waited for the answers before it has that much less time."""
         waited = round((self.clock.seconds() - exchange.arrived_at) * 1e6)
--- a/aniserudder/soak/driver.py
+++ b/aniserudder/soak/driver.py
@@ -17,6 +17,7 @@
 
 from ..core.invariants import Violation
 from . import events, plan, scenario
+from .abusive_clients import Form
 from .control import Slot
 from .events import LINK_CUT, Event, Kind
 from .oracle import Breach, HeldTally, Oracle, Rule, Terms
@@ -36,6 +37,7 @@
 PARTITION_S = (1.0, 6.0)  # that a node reaches one engine alone
 ISOLATION_S = (0.5, 4.5)  # that it reaches none
 HANG_S = (1.0, 4.0)       # that two engines of a role hang together
+ABUSE = (Form.SILENT, Form.SHORT_FIELDS, Form.HALF_BODY, Form.SLOW_HEAD, Form.TRAILERS, Form.MIXED, Form.UNKNOWN_PATHS, Form.UNSOUND)
 ALL_TERM_GAP_S = 0.6  # between SIGTERMs to one node after the other
 WALL_STEPS_S = (3600.0, -3600.0, 7.0, -7.0, 2.5, -2.5)
 SYSTEM_ERRORS = (
@@ -124,6 +126,7 @@
                 heapq.heappop(self._due)[2]()
                 continue
             now = time.monotonic()
+            self.stage.watch_memory()
             if now >= end:
                 return
             time.sleep(max(0.0, min(0.02, end - now)))
@@ -287,6 +290,17 @@
         self.stage.helpers[engine].tell(failing=0.1 + 0.4 * planned.draw)
         self._after(planned.lasts, lambda: self.stage.helpers[engine].tell(failing=0.0))
 
+    def _engine_spoils(self, planned: Planned, node: str, engine: str) -> None:
+        """Some of its streams are spoilt by something that keeps coming."""
+        self.stage.helpers[engine].tell(spoiling=0.1 + 0.4 * planned.draw)
+        self._after(planned.lasts, lambda: self.stage.helpers[engine].tell(spoiling=0.0))
+
+    def _abusive_clients(self, planned: Planned, node: str, engine: str) -> None:
+        """Hundreds come to one node, and to whatever is started in its place."""
+        form = ABUSE[int(planned.draw * len(ABUSE))]
+        self.stage.log.note(Kind.FAULT, node=node, text=f"abusive clients: {form.value}")
+        self.stage.abuse(node, form, planned.lasts, self.seed * 1000 + self._count)
+
     def _take_engine(self, engine: str) -> bool:
         """One thing at a time befalls an engine's process; what befalls its links may come beside it."""
         if engine in self._busy_engines or len(self._busy_engines) >= 3:
--- a/aniserudder/soak/engine.py
+++ b/aniserudder/soak/engine.py
@@ -39,6 +39,8 @@
     """Where attempts that wait for a state have their files: request, engine, number of the attempt."""
     return states / "wanted"
 
+# Streams that are spoilt by something that keeps coming: how it begins, and what follows upon it again and again.
+SPOILT = ((b"b2d05e00\r\n", EVENT), (b"0", b"0"), (b"1;", b"x"), (chunk(EVENT)[:-2], b"\n"), (b"0\r\n", b"x: y\r\n"))
 
 @dataclass(slots=True, eq=False)
 class Work:
@@ -60,15 +62,16 @@
         self.name, self.reads_only = specification["name"], specification["role"] == "read"
         self.states, self.log, self.chance = Path(specification["states"]), log, chance
         self.habits = EngineHabits(**specification["habits"])
-        self.draining, self.failing, self.attempts = False, 0.0, 0
+        self.draining, self.failing, self.spoiling, self.attempts = False, 0.0, 0.0, 0
         self.work: dict[RequestReader, Work] = {}
         listen(specification["port"], lambda: RequestReader(self._asked, self._closed))
         log.note(Kind.ENGINE_UP, engine=self.name)
 
     def obey(self, command: dict[str, Any]) -> None:
-        """``{"draining": true}``, ``{"failing": 0.3}``."""
+        """``{"draining": true}``, ``{"failing": 0.3}``, ``{"spoiling": 0.3}``."""
         self.draining = command.get("draining", self.draining)
         self.failing = command.get("failing", self.failing)
+        self.spoiling = command.get("spoiling", self.spoiling)
 
     def _asked(self, connection: RequestReader, request: HttpRequest) -> None:
         if request.method == "DELETE":
@@ -130,9 +133,19 @@
             return self._end(work, End.SERVED, chunk(LAST) + b"0\r\n\r\n")
         if self.chance.random() < self.failing / 10:
             return self._fail(work)
+        if self.chance.random() < self.spoiling / 10:
+            begin, more = self.chance.choice(SPOILT)
+            self._end(work, End.FAILED, begin)
+            return self._keeps_coming(work.connection, more)
         work.connection.say(chunk(EVENT))
         self._later(work, EVENT_S, self._event, left - 1)
 
+    def _keeps_coming(self, connection: RequestReader, more: bytes) -> None:
+        """What spoils a stream goes on until its node ends the connection."""
+        if not connection.closed:
+            connection.say(more)
+            reactor.callLater(EVENT_S, self._keeps_coming, connection, more)
+
     def _fail(self, work: Work) -> None:
         """An error, a reset, half a chunk, or silence: the request has run."""
         match self.chance.randrange(4):
--- a/aniserudder/soak/oracle.py
+++ b/aniserudder/soak/oracle.py
@@ -311,6 +311,8 @@
         due += self.paused.within(request.node, request.began_at, due)
         if not request.ended_at and last > due:
             self._break(Rule.ANSWER, due, id, f"{request.node} never ended its stream")
+        elif request.ended_at > due and any(attempt.end == End.FAILED.value for attempt in request.attempts):
+            self._break(Rule.ANSWER, request.ended_at, id, f"{request.node} ended a spoilt stream {request.ended_at - due:.3f} s too late")
 
     def _went_down_after(self, engine: str, over_at: float) -> bool:
         """Whether an engine's process was killed so soon behind the end of a stream that its last bytes may not have got out."""
--- a/aniserudder/soak/overload.py
+++ b/aniserudder/soak/overload.py
@@ -21,7 +21,7 @@
 from typing import Any
 
 from .abusive_clients import ClientLoad, Form, command, request
-from .stage import settings
+from .stage import anonymous_mb, settings
 
 HOST = "127.0.0.1"
 MEMORY_MB, DESCRIPTORS = 32, 1024
@@ -235,13 +235,7 @@
 
     def anonymous_mb(self) -> float:
         """Anonymous memory at this moment; 0: it has ended."""
-        try:
-            for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-                if line.startswith("RssAnon:"):
-                    return int(line.split()[1]) / 1024
-        except OSError:
-            pass
-        return 0.0
+        return anonymous_mb(self.process.pid)
 
     def _watch(self) -> None:
         while not self._over.is_set() and self.process.poll() is None:
--- a/aniserudder/soak/plan.py
+++ b/aniserudder/soak/plan.py
@@ -35,6 +35,8 @@
     NODE_PARTITIONED = auto()
     NODE_ISOLATED = auto()
     ROLE_HANG = auto()
+    ABUSIVE_CLIENTS = auto()
+    ENGINE_SPOILS = auto()
 
 
 class Profile(Enum):
@@ -42,6 +44,7 @@
     MIXED = "mixed"
     PARTITIONS = "partitions"  # nodes that reach one engine or none, engines of a role that hang together, silent links
     RESTARTS = "restarts"      # the same, and four times as many SIGTERMs
+    CROWDS = "crowds"          # the least memory, hundreds of abusive clients, spoilt streams that keep coming
 
 
 # How often each is drawn, against the others.
@@ -80,7 +83,12 @@
     Fault.NODE_SIGNALS: 16,
     Fault.ALL_NODES_TERM: 4,
 }
-PROFILE_WEIGHTS = {Profile.MIXED: WEIGHTS, Profile.PARTITIONS: PARTITION_WEIGHTS, Profile.RESTARTS: RESTART_WEIGHTS}
+CROWD_WEIGHTS = {
+    **RESTART_WEIGHTS,
+    Fault.ABUSIVE_CLIENTS: 40,
+    Fault.ENGINE_SPOILS: 15,
+}
+PROFILE_WEIGHTS = {Profile.MIXED: WEIGHTS, Profile.PARTITIONS: PARTITION_WEIGHTS, Profile.RESTARTS: RESTART_WEIGHTS, Profile.CROWDS: CROWD_WEIGHTS}
 
 
 @dataclass(slots=True, frozen=True)
--- a/aniserudder/soak/scenario.py
+++ b/aniserudder/soak/scenario.py
@@ -15,6 +15,9 @@
 CROWD = (0, 0, 500)              # connections that say next to nothing, over all nodes
 MANY_CLIENTS = (3, 100)          # with idle connections beside them they would hold more than a third of the descriptors
 PROMPT_TOKENS = (200, 600, 1500)
+MEMORY_MB, DESCRIPTORS = 192, 512
+LEAST_MEMORY_MB, MOST_DESCRIPTORS = 32, 1024  # where the memory is to run out and the descriptors are not
+ABUSIVE_CLIENTS = (100, 200, 300)
 LONG_DEADLINES_PART = 0.75       # of the profiles with partitions: with short ones little is held when a fault comes
 
 
@@ -54,6 +57,8 @@
         profile: of the faults.
         habits: of the engines.
         prompt_tokens: of each request.
+        abusive_clients: that come to a node at a time, where any do.
+        memory_mb: of each node; ``descriptors``: of each node.
     """
 
     deadlines: dict[str, float]
@@ -63,6 +68,9 @@
     profile: Profile = Profile.MIXED
     habits: EngineHabits = EngineHabits()
     prompt_tokens: int = 1500
+    abusive_clients: int = 0
+    memory_mb: int = MEMORY_MB
+    descriptors: int = DESCRIPTORS
 
     @property
     def kill_after_s(self) -> float:
@@ -73,7 +81,7 @@
         """For a person."""
         return (f"{self.profile.value}, deadlines to {max(self.deadlines.values()):g} s, kill {self.kill_after_s:g} s after SIGTERM, each "
                 f"engine listed {self.copies} times, {self.clients[0] * self.clients[1]} clients, {self.crowd} idle connections, long reads to "
-                f"{self.habits.long_read_s[1]:g} s")
+                f"{self.habits.long_read_s[1]:g} s, {self.memory_mb} MB, {self.abusive_clients} abusive clients at a time")
 
 
 def _draw_partitions(seed: int, profile: Profile) -> Scenario:
@@ -81,7 +89,11 @@
     deadlines = LONG_DEADLINES if chance.random() < LONG_DEADLINES_PART else SHORT_DEADLINES
     clients = chance.choice((*CLIENTS, MANY_CLIENTS))
     crowd = 0 if clients == MANY_CLIENTS else chance.choice(CROWD)
-    return Scenario(deadlines, chance.choice(COPIES[:3]), clients, crowd, profile, chance.choice(HABITS), chance.choice(PROMPT_TOKENS))
+    drawn = Scenario(deadlines, chance.choice(COPIES[:3]), clients, crowd, profile, chance.choice(HABITS), chance.choice(PROMPT_TOKENS))
+    if profile is not Profile.CROWDS:
+        return drawn
+    return replace(drawn, clients=CLIENTS[0], abusive_clients=chance.choice(ABUSIVE_CLIENTS), memory_mb=LEAST_MEMORY_MB,
+                   descriptors=MOST_DESCRIPTORS)
 
 
 def draw(seed: int, copies: int | None = None, clients: int | None = None, profile: Profile = Profile.MIXED) -> Scenario:
--- a/aniserudder/soak/stage.py
+++ b/aniserudder/soak/stage.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+from .abusive_clients import ClientLoad, Form, command
 from .control import ControlPage
 from .engine import wanted_folder
 from .events import EventLog, Kind
@@ -57,6 +58,17 @@
             "rules": {"cold": 3.0, "cold-share": 0.3, "fall-multiple": 2.5, "drain-grace": DRAIN_GRACE_S}, "services": services}
 
 
+def anonymous_mb(pid: int) -> float:
+    """Anonymous memory of a process at this moment; 0: it has ended."""
+    try:
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1]) / 1024
+    except OSError:
+        pass
+    return 0.0
+
+
 @dataclass(slots=True)
 class Helper:
     """A helper process, which obeys lines on its standard input."""
@@ -98,6 +110,7 @@
         self.pages = {node: ControlPage(folder / f"{node}.page") for node in self.nodes}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}  # nodes that run
         self.helpers: dict[str, Helper] = {}
+        self.abusive: list[subprocess.Popen[bytes]] = []
         self.since: dict[str, int] = dict.fromkeys(engines, 0)
         self.discovery_is_down = False
         self.phases = dict.fromkeys(engines, "SERVING")
@@ -165,7 +178,7 @@
             for copy in copies_of({**self.member(engine, self.told_phases[engine]), "host_port": f"{self.host}:{self.links[node, engine]}"}, self.scenario.copies)]}
         text = json.dumps({
             "name": node, "listen": f"{self.host}:{self.ports[node]}", "discovery": f"{self.host}:{self.agents[node][self.agent_at[node]]}",
-            "seed": f"{self.seed + self._starts:x}", "limits": {"sockets": 512}, "known": known, "settings": settings(len(self.nodes), self.scenario.deadlines)})
+            "seed": f"{self.seed + self._starts:x}", "limits": {"sockets": self.scenario.descriptors, "memory_mb": self.scenario.memory_mb}, "known": known, "settings": settings(len(self.nodes), self.scenario.deadlines)})
         (self.folder / f"{node}.json").write_text(text[:len(text) // 2] if half else text)
 
     def start_node(self, node: str) -> None:
@@ -202,6 +215,14 @@
         else:
             self._note_end(node, process.returncode)
 
+    def watch_memory(self) -> None:
+        """Ends a node that holds more than it may, as its platform does."""
+        for node, process in self.processes.items():
+            held = anonymous_mb(process.pid)
+            if held > self.scenario.memory_mb and process.poll() is None:
+                self.log.note(Kind.NODE_ENDED, node=node, value=-signal.SIGKILL, text=f"killed: it held {held:.1f} MB")
+                process.kill()
+
     def _note_end(self, node: str, code: int) -> None:
         """A process that was told to end before it could heed signals ends by the system's default: it had taken nothing."""
         early = code == -signal.SIGTERM and self._termed_at.get(node, 0.0) - self._started_at[node] < STARTING_S
@@ -263,8 +284,17 @@
             if helper.process.poll() not in (None, -signal.SIGKILL):
                 raise RuntimeError(f"{name} has ended: {(self.folder / f'{name}.errors').read_text()[-500:]}")
 
+    def abuse(self, node: str, form: Form, seconds: float, seed: int) -> None:
+        """Abusive clients come to a node for a while."""
+        load = ClientLoad(form.value, self.host, self.ports[node], self.scenario.abusive_clients, seconds, seed)
+        errors = (self.folder / "abusive.errors").open("ab")
+        self.abusive.append(subprocess.Popen(command(load), stdout=subprocess.DEVNULL, stderr=errors, env=self._environment))
+
     def down(self) -> None:
         """Ends everything that was started."""
+        for process in self.abusive:
+            process.kill()
+            process.wait()
         for helper in self.helpers.values():
             helper.process.send_signal(signal.SIGCONT)
         for process in (*self.processes.values(), *(helper.process for helper in self.helpers.values())):
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -180,7 +180,7 @@
                  on_gone: Callable[[ServerConnection], None],
                  on_closing: Callable[[ServerConnection, CloseReason, int], None], resources: ServerResources) -> None:
         self.budget, self._turns, self._pace, self._log = resources.memory, resources.turns, resources.pace, resources.log
-        self._spender = Spender()
+        self._spender, self._patience = Spender(), resources.patience
         self._own = self.budget.account(Purpose.CONNECTIONS)
         self._part = self.budget.account(Purpose.REQUEST_PARTS, self._part_gives_way)
         self._unread = self.budget.account(Purpose.UNREAD_ANSWERS, lambda: self._cut_off(CloseReason.SLOW_READER))
@@ -198,6 +198,7 @@
         self._wrong: tuple[int, str] | None = None    # why the request being read cannot be taken
         self._refusal: tuple[int, str, CloseReason] | None = None  # the same, while answers before it are still owed
         self._queued = False  # the next request waits for its turn
+        self._reading_stopped = False
         self._excess = 0       # whole requests beyond those that may wait: each is refused
         self._refused = False  # the last answer waits until it may go out, or is out
         self._answer_now: Callable[[], None] | None = None  # sends the last answer that waits
@@ -351,8 +352,8 @@
         self._building.path += url.decode("latin-1")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._building.method:
-            return  # of the trailer section: nobody asked for any
+        if self._building.method or self._excess:
+            return  # of the trailer section, or of a request that is refused: nobody asks for any
         self._fields += 1
         if self._fields > self.bounds.fields:
             self._wrong = (431, f"more than {self.bounds.fields} header fields")
@@ -380,24 +381,33 @@
 
     def on_message_complete(self) -> None:
         building, self._building = self._building, None
-        building.last = not self._parser.should_keep_alive()
-        handle = getattr(self.transport, "getHandle", None)
-        building.lay_s = data_age(handle()) if handle else 0.0
-        building.arrived_at = self.clock.seconds() - building.lay_s
         if self._excess or len(self._whole) >= AHEAD:
             self._excess += 1
             self._wrong = (429, f"more than {AHEAD} requests ahead of their answers")
             return
+        building.last = not self._parser.should_keep_alive()
+        handle = getattr(self.transport, "getHandle", None)
+        building.lay_s = data_age(handle()) if handle else 0.0
+        building.arrived_at = self.clock.seconds() - building.lay_s
         building.memory.hold(REQUEST_BYTES + FIELD_BYTES * self._fields + len(building.body))
         self._whole.append(building)
 
     def _queue(self) -> None:
         """The next request waits for its turn."""
         self._queued = True
-        self._turns.submit(self._spender, self._take)
+        self._turns.submit(self._spender, self._take, self._patience(self._whole[0]))
+        if self._queued and self.state is not At.CLOSED:
+            self._read_on(False)  # what comes behind it waits in the kernel, and wakes nobody
+
+    def _read_on(self, wanted: bool) -> None:
+        """Has the transport read, or leave what comes in the kernel."""
+        if wanted is self._reading_stopped and self.transport:
+            self._reading_stopped = not wanted
+            self.transport.resumeProducing() if wanted else self.transport.pauseProducing()
 
     def _take(self, examined: bool) -> None:
         self._queued = False
+        self._read_on(True)
         if self.state is not At.READING or not self._whole:  # it ended while it waited
             return
         self._exchange = exchange = self._whole.popleft()
@@ -454,10 +464,10 @@
         self._exchange, self._refused, self._excess = None, True, 0
         self._whole.clear()
         most_s = self.opened_at + self.bounds.opening_s - self.clock.seconds() if self.bounds.paced else 0.0
-        delay = self._pace.delay(most_s) if most_s > 0 else 0.0
+        delay = self._pace.delay(most_s, count) if most_s > 0 else 0.0
         if delay <= 0:
             return self._answer_refusal(status, reason, why, count)
-        self.transport.pauseProducing()  # what it sends meanwhile waits in the kernel
+        self._read_on(False)  # what it sends meanwhile waits in the kernel
         self._answer_now = lambda: self._answer_refusal(status, reason, why, count)
         self._bound(delay, self._answer_now)
 
@@ -465,12 +475,7 @@
         if self.state is At.CLOSED:
             return
         self._answer_now = None
-        self.transport.resumeProducing()
-        body = text.error(reason)
-        for number in range(count):
-            self.closing = number == count - 1
-            self.head(status, [("content-type", "application/json"), ("content-length", str(len(body)))])
-            self.data(body)
+        self._write((count - 1) * text.refusal(status, reason, last=False) + text.refusal(status, reason, last=True))
         self._close(why)
 
     # Answers.
@@ -587,6 +592,7 @@
             return
         self.close_reason = reason
         self._change(At.CLOSED)
+        self._read_on(True)  # until the client's end
         exchange, self._exchange = self._exchange, None
         owed = len(self._whole) + (exchange is not None)
         for waiting in self._whole:
@@ -645,6 +651,7 @@
     turns: TurnQueue
     pace: RefusalPace
     log: Callable[..., None] = lambda event, **fields: None
+    patience: Callable[[Exchange], float] = lambda exchange: 0.0  # seconds that a request's client waits from now on; 0: not told
 
 
 class ServerFactory(Factory):
--- a/aniserudder/wire/text.py
+++ b/aniserudder/wire/text.py
@@ -40,6 +40,13 @@
     return b'{"type":"error","error":{"kind":"bad_request","message":"%b"}}' % plain
 
 
+def refusal(status: int, reason: str, last: bool) -> bytes:
+    """A whole answer to what is no proper request. ``last``: the connection ends behind it."""
+    body = error(reason)
+    close = [("connection", "close")] if last else []
+    return response(status, [("content-type", "application/json"), ("content-length", str(len(body))), *close]) + body
+
+
 def _lines(headers: Headers) -> list[str]:
     return [f"{name}: {UNSAFE.sub(' ', value)}\r\n" for name, value in headers]
 
