--- a/aniserudder/platform/config.py
+++ b/aniserudder/platform/config.py
@@ -154,6 +154,8 @@
                   let_go=micros(family.get("let-go-by", 0.3)), drain_grace=micros(rules.get("drain-grace")))
     seed, limits = data.get("seed", 0), data.get("limits", {})
     memory = int(float(limits.get("memory_mb") or 0) * MEGABYTE)
+    if memory < 0:
+        raise ValueError("limits.memory_mb: less than nothing")
     return Config(str(data["name"]), address(data["listen"]), address(data["discovery"]),
                   int(seed, 16) if isinstance(seed, str) else int(seed), int(limits.get("sockets", 1024)),
                   memory,
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -30,7 +30,7 @@
 from .clients import LINGER_S, OPENING_S, Clients
 from .discovery import Discovery
 from .engines import PlatformEngines
-from .process_memory import MemoryGauge, return_freed_memory
+from .process_memory import MemoryGauge, return_freed_memory, trim
 from .signals import Signals
 
 LEVEL = "NODE_LOG_LEVEL"   # variable: debug, info, warning or error
@@ -49,6 +49,7 @@
 RELEASE_MOST_S = 30.0      # that it stays for a release that no engine has confirmed
 LISTEN_AGAIN_S, LISTEN_FOR_S = 0.1, 10.0  # an address may still be the last process's, and memory short for a moment
 LISTEN_ERRORS = SYSTEM | {errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EINTR}
+CROWD_BYTES = 1 << 20      # that peers held, and hold no more, before memory is given back
 RECORD_BYTES = 1_536       # of a reservation that is followed, and of what the monitor knows of its request
 LINES_PER_S = 10           # of the log, and three times as many saved up
 
@@ -86,6 +87,7 @@
         self._stopping = False
         self._reload_again: IDelayedCall | None = None
         self._reload_problem = ""  # as it was told last
+        self._most_held = 0  # bytes that peers held at most since memory was given back last
         self.stopped: Deferred[None] = Deferred()
 
     def start(self) -> None:
@@ -222,12 +224,22 @@
         self.reactor.callLater(LATE_EVERY_S, self._late, self.reactor.seconds() + LATE_EVERY_S)
         late = self.reactor.seconds() - due
         self.memory.sample()
+        self._give_back()
         self._tables.hold(self.clients.remembered_bytes + self.router.node.remembered_bytes
                           + RECORD_BYTES * len(self.engines.reservations.records))
         if self.discovery.start_times.sample():
             self.log("wall clock stepped", level="warning", reason=f"{self.discovery.start_times.steps} offsets seen so far")
         self.router.lag.loop_late(late)
 
+    def _give_back(self) -> None:
+        """Once a crowd has gone, what it has left behind goes back to the system."""
+        most_held = max(self._most_held, self.budget.total)
+        has_gone = most_held - self.budget.total > CROWD_BYTES and self.budget.total < most_held / 2
+        self._most_held = self.budget.total if has_gone else most_held
+        if has_gone:
+            gc.collect()
+            trim()
+
     def _figures(self) -> None:
         """What the node holds, and what it believes its engines hold of it."""
         self.reactor.callLater(FIGURES_S, self._figures)
--- a/aniserudder/platform/process_memory.py
+++ b/aniserudder/platform/process_memory.py
@@ -48,6 +48,13 @@
         mallopt(M_TRIM_THRESHOLD, KEPT_FREE)
 
 
+def trim() -> None:
+    """Gives back to the system what the C library keeps free (malloc_trim(3))."""
+    malloc_trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
+    if malloc_trim:
+        malloc_trim(0)
+
+
 class MemoryGauge:
     """Follows the anonymous memory of the process, and the most of it since it was told last.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -203,3 +203,17 @@
     ran = subprocess.run(command, capture_output=True, text=True)
     assert ran.returncode == 0, ran.stdout + ran.stderr
     assert "node_partitioned" in ran.stdout
+
+
+def test_a_soak_of_crowds_at_the_least_memory_breaks_no_rule(tmp_path):
+    """Abusive clients by the hundreds, spoilt streams that keep coming, signals in series, SIGKILL at the earliest, 32 MB."""
+    command = [sys.executable, "-m", "aniserudder", "soak", "--profile", "crowds", "--seed", "90006", "--seconds", "12", "--keep", str(tmp_path / "kept")]
+    ran = subprocess.run(command, capture_output=True, text=True)
+    assert ran.returncode == 0, ran.stdout + ran.stderr
+    assert "32 MB" in ran.stdout and "abusive_clients" in ran.stdout
+
+
+def test_a_spoilt_stream_that_ends_late_is_a_breach():
+    def story(ended_after):
+        return Story().at(0.2, Kind.STREAM_BEGAN).attempt(0.1, 0.9, End.FAILED).answered(ended_after, "broken").broken()
+    assert story(5.5) == [] and story(6.9) == [Rule.ANSWER]
