A request that gives way as it becomes whole leaves nothing in the budget

The part is released first, and a closed connection takes no further request.

Answers to unsound requests that wait for their pace go out at SIGTERM, as SIGKILL may come before.

--- a/aniserudder/admission/memory.py
+++ b/aniserudder/admission/memory.py
@@ -56,13 +56,6 @@
         """It holds nothing any more."""
         self.budget.hold(self, 0)
 
-    def becomes(self, purpose: Purpose, gives_way: Callable[[], None] | None = None) -> None:
-        """What it holds is for something else from now on."""
-        size = self.size
-        self.release()
-        self.purpose, self.gives_way = purpose, gives_way
-        self.budget.hold(self, size)
-
 
 class MemoryBudget:
     """Accounts of everything that peers make the process hold.
--- a/aniserudder/admission/turns.py
+++ b/aniserudder/admission/turns.py
@@ -157,9 +157,16 @@
     def __init__(self, clock: IReactorTime, rate: float = 100.0, burst: int = 20) -> None:
         self._clock, self._rate, self._burst = clock, rate, burst
         self._next = 0.0
+        self._stopped = False
+
+    def stop(self) -> None:
+        """The process is about to end: no answer waits any more."""
+        self._stopped = True
 
     def delay(self, most_s: float, answers: int = 1) -> float:
         """Seconds that the next so many answers on one connection wait, so many at most."""
+        if self._stopped:
+            return 0.0
         now = self._clock.seconds()
         self._next = max(self._next, now) + (1 + answers // ANSWERS_AS_ONE) / self._rate
         delay = self._next - now - self._burst / self._rate
--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -213,9 +213,10 @@
         self.ready, self.stopping = False, True
         for id, one in list(self._early.items()):
             self._refuse(id, one.exchange, "the node is stopping")
+        self.factory.resources.pace.stop()
         self.factory.last_answers()
         for connection in list(self.factory.connections):
-            if connection.state is At.IDLE and not connection.silent:
+            if connection.refused_already or connection.state is At.IDLE and not connection.silent:
                 connection.stop()  # one with unread bytes has asked: it is answered first
 
     # Requests.
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -381,6 +381,9 @@
 
     def on_message_complete(self) -> None:
         building, self._building = self._building, None
+        self._part.release()  # from here on it is held as a whole
+        if self.state is At.CLOSED:  # it gave way to others in the midst of this read
+            return
         if self._excess or len(self._whole) >= AHEAD:
             self._excess += 1
             self._wrong = (429, f"more than {AHEAD} requests ahead of their answers")
@@ -389,8 +392,8 @@
         handle = getattr(self.transport, "getHandle", None)
         building.lay_s = data_age(handle()) if handle else 0.0
         building.arrived_at = self.clock.seconds() - building.lay_s
-        building.memory.hold(REQUEST_BYTES + FIELD_BYTES * self._fields + len(building.body))
         self._whole.append(building)
+        building.memory.hold(REQUEST_BYTES + FIELD_BYTES * self._fields + len(building.body))
 
     def _queue(self) -> None:
         """The next request waits for its turn."""
@@ -513,7 +516,7 @@
             self._queue()
 
     def _write(self, data: bytes) -> None:
-        size = self.bounds.read or len(data)
+        size = self.bounds.read or max(1, len(data))
         for at in range(0, len(data), size):
             piece = data[at:at + size]
             if self.paused:
--- a/tests/test_resources.py
+++ b/tests/test_resources.py
@@ -119,3 +119,20 @@
         return client.data
     data = on_loop(scene)
     assert b"[DONE]" in data and b"HTTP/1.1 500" in data
+
+
+def test_what_gives_way_in_the_midst_of_its_own_read_holds_nothing_afterwards():
+    async def scene():
+        site = Site({"m1": lambda connection, request: connection.say(WHOLE)})
+        await site.up()
+        budget = site.node.budget
+        budget.limit = 300_000  # for one that comes in part, and not for as much again
+        body = b'{"x":"%b"}' % (b"y" * 200_000)
+        client = await site.client(ask("a1", body=body))
+        await until(lambda: b"HTTP/1.1 503" in client.data)
+        client.transport.abortConnection()
+        await until(lambda: not site.node.clients.factory.connections, 6)
+        held = budget.total - budget.held[Purpose.TABLES]
+        await site.close()
+        return held
+    assert on_loop(scene) == 0
