A node on a share of a core is not charged for the machine's other processes

The node is continued for 10 ms of each 50; on a busy machine it waits for a processor in them and gets less than its fifth. Time on the run queue (schedstat) no longer counts as its slice; on an idle machine nothing changes.

--- a/aniserudder/soak/overload.py
+++ b/aniserudder/soak/overload.py
@@ -187,6 +187,14 @@
     return head.lower().partition(b"\r\n%b: " % name.encode())[2].split(b"\r\n")[0].decode()
 
 
+def waited_for_processor_s(pid: int) -> float:
+    """Seconds in which a process could run and no processor was free (proc(5), ``schedstat``); 0 where the system does not tell."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+    except (OSError, IndexError, ValueError):
+        return 0.0
+
+
 class MeasuredNode:
     """The node's process, watched as the platform does.
 
@@ -246,9 +254,14 @@
             time.sleep(LOOK_S)
 
     def _ration(self) -> None:
+        """Lets it run a slice of each period. Time in which it waits for a processor of a busy machine is none of its slice."""
         while not self._over.is_set() and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
-            time.sleep(SLICE_S)
+            began, waited = time.monotonic(), waited_for_processor_s(self.process.pid)
+            left = SLICE_S
+            while left > 0.0005 and not self._over.is_set():
+                time.sleep(left)
+                left = SLICE_S - (time.monotonic() - began) + waited_for_processor_s(self.process.pid) - waited
             self.process.send_signal(signal.SIGSTOP)
             time.sleep(SLICE_S / self._share - SLICE_S)
         if self.process.poll() is None:
