A request under way is charged for what it holds; overload runs share no port

Sound requests under way were charged 10 kB; measured, 63 of them held some 25 to 30 kB each.

In one of two whole test runs at once a case did not start, as its port had become another process's outgoing one: overload runs have a loopback address of their own, like soaks.

--- a/aniserudder/soak/overload.py
+++ b/aniserudder/soak/overload.py
@@ -23,7 +23,7 @@
 from .abusive_clients import ClientLoad, Form, command, request
 from .stage import anonymous_mb, settings
 
-HOST = "127.0.0.1"
+HOST = f"127.{1 + os.getpid() // 250 % 250}.{1 + os.getpid() % 250}.1"  # runs beside each other share no port
 MEMORY_MB, DESCRIPTORS = 32, 1024
 DEADLINES = {"draft": 4.0, "mark": 4.0, "send": 4.0}
 READY_S = 20.0
--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -27,7 +27,7 @@
 SHED_LINGER_S = 0.001  # between the end of sending and the close of a connection whose descriptor is wanted
 CONNECTION_BYTES = 6_144  # of objects and buffers that each connection holds
 REQUEST_BYTES, FIELD_BYTES = 1_024, 256  # of objects that a request holds, and each field of its head
-TAKEN_BYTES = 10_240      # of objects that one under way holds besides, its connection to an engine among them
+TAKEN_BYTES = 24_576      # of objects that one under way holds besides, its connection to an engine among them
 TRANSPORT_BYTES = 65_536  # that wait in a transport before it pauses, unless told otherwise
 FRAMING_PER_BYTE = 8  # bytes around one of a body, in the smallest chunks
 AHEAD = 4  # whole requests that a client may send before it is answered
