A body that comes in part is charged for the buffer that grows ahead of it

A part was charged by its length; a bytearray that grows is allocated ahead, and old and new blocks overlap.

--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -27,6 +27,7 @@
 SHED_LINGER_S = 0.001  # between the end of sending and the close of a connection whose descriptor is wanted
 CONNECTION_BYTES = 6_144  # of objects and buffers that each connection holds
 REQUEST_BYTES, FIELD_BYTES = 1_024, 256  # of objects that a request holds, and each field of its head
+BODY_SLACK = 1.6          # that a body which comes in part holds for each of its bytes, as its buffer grows ahead of it
 TAKEN_BYTES = 24_576      # of objects that one under way holds besides, its connection to an engine among them
 TRANSPORT_BYTES = 65_536  # that wait in a transport before it pauses, unless told otherwise
 FRAMING_PER_BYTE = 8  # bytes around one of a body, in the smallest chunks
@@ -338,7 +339,7 @@
         """What the request that is being read holds in memory."""
         if self._building is None:
             return 0
-        return REQUEST_BYTES + FIELD_BYTES * self._fields + min(self._head_bytes, self.bounds.head) + len(self._building.body)
+        return REQUEST_BYTES + FIELD_BYTES * self._fields + min(self._head_bytes, self.bounds.head) + round(BODY_SLACK * len(self._building.body))
 
     @property
     def _body_bytes(self) -> int:
