Servers outside the platform measure turns by their own clock

test_a_plan_gives_the_same_figures_on_one_process_and_on_four failed once in a whole run: the laboratory's nodes run in simulated time, and the turn queue's default measured real processor time, so that the order of requests depended on the machine. By default it reads the injected clock; the platform node still counts processor time.

--- a/aniserudder/wire/server.py
+++ b/aniserudder/wire/server.py
@@ -665,7 +665,7 @@
 
     def __init__(self, clock: IReactorTime, bounds: Bounds, handle: Callable[[Exchange], None],
                  gate: Gate | None = None, refused: Bounds | None = None, resources: ServerResources | None = None) -> None:
-        self.resources = resources or ServerResources(MemoryBudget(), TurnQueue(clock), RefusalPace(clock))
+        self.resources = resources or ServerResources(MemoryBudget(), TurnQueue(clock, clock.seconds), RefusalPace(clock))
         self.clock, self.bounds, self.handle, self.gate = clock, bounds, handle, gate
         self.refused_bounds = refused or bounds
         self.connections: dict[ServerConnection, None] = {}
