A release asks every address in reach of its slack, once, before it asks any again

Cause, by a trace of all tries: nine calls fit into the slack, and of seven engines they reached six: w2, w3 and r3 were asked over a kept and then over a new connection. What was left waited 0.38 s for the release's next turn.

--- a/aniserudder/core/reservation.py
+++ b/aniserudder/core/reservation.py
@@ -66,7 +66,7 @@
     tried_as_heard_at: float = -math.inf  # when it was tried last because an engine was heard
     overdue: bool = False
     local_trouble: bool = False  # this system could make no connection
-    tried: set[str] = field(default_factory=set)  # engines it went to over new connections
+    tried: set[str] = field(default_factory=set)  # addresses it went to over new connections
 
     def call_off(self) -> None:
         """An engine has confirmed it: no other answer is waited for."""
--- a/aniserudder/core/reservation_tracker.py
+++ b/aniserudder/core/reservation_tracker.py
@@ -41,11 +41,13 @@
 SILENT_MOST_S = 30.0  # for which releases are repeated while an engine stands still; from then on only when it is heard again
 RECORDS_MOST = 8192  # requests followed at a time
 CALL_S = 0.5  # that a release waits for its answer
+SEARCH_CALL_S = 0.25  # the same while any engine is looked for that answers
 DORMANT_LOOK_S = 1.0  # between looks at a request whose engines have stood still for longer
 ASKED_AT_ONCE = 8  # engines asked whether they run; each may keep a connection for as long as the call is patient
 QUICK_FAILURE_S = 0.05  # a connect that fails sooner was refused, or failed in this system
 QUICK_RETRIES_MOST = 6  # of one release at the same engines
 STRANDED_TRIES = 3  # of a release without an answer: from then on it goes out through any engine that is heard, whatever else it waits for
+SEARCHING_MOST = 8  # of them looked at for one that has not been everywhere
 STRANDED_EACH_S = 0.05  # between tries of one of the releases that found no way
 CALLS_MOST = 64  # release calls under way at a time: more would take the connections that attempts and other releases need
 TURN_AGAIN_S = 0.38  # between turns of one release that is not overdue, as calls that come late must not feed a jam
@@ -73,6 +75,9 @@
     def listed(self) -> Collection[str]:
         """Engines whose address is known."""
 
+    def address_of(self, engine: str) -> str:
+        """Where an engine listens; several may at one address."""
+
     def proven(self) -> str:
         """The engine whose kept connection was used last; empty: there is none."""
 
@@ -104,7 +109,7 @@
     def __init__(self, calls: ReservationCalls, let_go_s: float, log: Callable[..., None]) -> None:
         self.calls, self.let_go_s, self.log = calls, let_go_s, log
         self.records: dict[str, Reservation] = {}
-        self.routes = ReleaseRoutes()
+        self.routes = ReleaseRoutes(calls.address_of)
         self.overdue = self.repeated = self.dropped = 0
         self._silent = SilentEngines()
         self._stranded: dict[str, None] = {}  # requests whose release finds no way
@@ -359,25 +364,25 @@
         if release.tries == 1:
             routes = self.routes.first(release.engine, release.late, proven, listed, now)
         else:
-            routes = self.routes.again(release.tries, release.tried, proven, listed, now, release.local_trouble)
+            routes = self.routes.again(release.tries, release.tried, proven, listed, now, release.local_trouble, release.late)
         self._call_through(record, release, routes)
 
-    def _call_through(self, record: Reservation, release: ReleaseProgress, routes: list[Route]) -> None:
+    def _call_through(self, record: Reservation, release: ReleaseProgress, routes: list[Route], patience_s: float = CALL_S) -> None:
         for route in routes:
-            self._call(record, release, route)
+            self._call(record, release, route, patience_s)
             if record.release is not release:
                 return  # confirmed
         if not release.calls or release.tries >= STRANDED_TRIES:
             self._strand(record)
 
-    def _call(self, record: Reservation, release: ReleaseProgress, route: Route) -> None:
+    def _call(self, record: Reservation, release: ReleaseProgress, route: Route, patience_s: float = CALL_S) -> None:
         if not route.fresh and not self.calls.has_kept(route.engine):
             route = Route(route.engine, fresh=True)
             if release.tries > 1 and not self.routes.takes_more(route.engine, self._now):
                 return
         asked_for, asked_at, tries = release.asked_for, self._now, release.tries
         if route.fresh:
-            release.tried.add(route.engine)
+            release.tried.add(self.calls.address_of(route.engine))
         release.called += 1
         release.called_at = asked_at
         number, ended = release.called, False
@@ -407,7 +412,7 @@
             elif end is not CallEnd.CONFIRMED and not release.calls:
                 self._all_failed(record, release)
 
-        call_off = self.calls.release_at(route, record.request, CALL_S, done)
+        call_off = self.calls.release_at(route, record.request, patience_s, done)
         if ended:
             return
 
@@ -563,12 +568,26 @@
 
     def _look_for_way(self) -> None:
         self._stranded_timer = None
+        self._search()
         for record in self._stranded_records(1, math.inf):
             self._call_through(record, record.release, self._way_to_try())
             self._plan(record)
         if self._stranded and self._stranded_timer is None and not self._closed:
             self._stranded_timer = self.calls.reactor.callLater(STRANDED_EACH_S, self._look_for_way)
 
+    def _search(self) -> None:
+        """Asks engines that no release was tried at of late, so that one in reach is found however many are listed; when it answers, all
+        releases go out through it. The oldest that has not been everywhere goes along: what is asked grows with what is to be released."""
+        for record in map(self.records.get, islice(self._stranded, SEARCHING_MOST)):
+            if record is not None and self._may_search(record):
+                routes = self.routes.search(record.release.tried, self.calls.listed, self._now)
+                if routes:
+                    return self._call_through(record, record.release, routes, patience_s=SEARCH_CALL_S)
+
+    @staticmethod
+    def _may_search(record: Reservation) -> bool:
+        return record.release is not None and record.release.tries >= URGENT_TRIES and not record.is_awaited
+
     def _way_to_try(self) -> list[Route]:
         """By turns over a kept and a new connection: for long, only one kind may work."""
         self._looks += 1
--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -194,6 +194,11 @@
         """Engines whose address is known."""
         return self.places
 
+    def address_of(self, engine: str) -> str:
+        """Where an engine listens, as host:port; one that is not listed any more stands for itself."""
+        place = self.places.get(engine)
+        return engine if place is None else place.address
+
     def fetch_has_arrived(self, request: str) -> bool:
         """Whether the attempt that is out for a request has surely arrived; reads what lies unread first."""
         run = self.runs.get(request)
--- a/aniserudder/wire/connections.py
+++ b/aniserudder/wire/connections.py
@@ -99,6 +99,10 @@
     host: str
     port: int
     idle: list[tuple[ClientConnection, float]] = field(default_factory=list)  # and since when
+    address: str = ""
+
+    def __post_init__(self) -> None:
+        self.address = f"{self.host}:{self.port}"
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/reservation_stand.py
+++ b/tests/reservation_stand.py
@@ -49,6 +49,9 @@
         self.invariants = InvariantMonitor(lambda event, **fields: None)
         self.tracker = ReservationTracker(self, 0.3, lambda event, **fields: None)
 
+    def address_of(self, engine: str) -> str:
+        return engine
+
     def proven(self) -> str:
         return "w1" if "w1" in self.listed and "w1" not in self.cut_off | self.still else ""
 
