A request that no connection to engines is left for is refused before it costs decisions

A node with no descriptor left for engines decided each request four times, 1.7 to 2.4 ms each, to find none each time; 40 such decisions in 0.1 s took all of its processor, and releases waited behind them.

Change: a request is refused as it comes while every connection to engines is in use (one that is kept counts as free); one that finds none on its way ends there (outcome EXHAUSTED) in place of going to three more engines. Another engine has no other descriptors.

--- a/aniserudder/core/invariants.py
+++ b/aniserudder/core/invariants.py
@@ -20,7 +20,7 @@
 HELD_SLACK_US = 350_000      # beyond the settings' time: 300 ms of the standing page, and 50 ms of every time limit
 HELD_UNCONFIRMED_US = 3_000_000  # in which a release under way is confirmed, or given up as lost
 DEADLINE_SLACK_US = 150_000  # by which the time told to an engine may exceed what the client has left
-NEVER_RAN = frozenset({Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.READ})
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.EXHAUSTED, Outcome.READ})
 
 
 class Violation(Enum):
--- a/aniserudder/decisions/interface.py
+++ b/aniserudder/decisions/interface.py
@@ -43,6 +43,7 @@
     CUT = "cut"
     RECALLED = "recalled"
     NOT_SENT = "not sent"
+    EXHAUSTED = "exhausted"  # not sent, and no other engine could be connected to either
 
 
 class State(Word):
--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -71,8 +71,8 @@
 AGAIN, MOST_AGAIN = 0.1, 2.0    # attempts in place of lost ones: for each sequence, and saved up at most
 PROBE_EVERY = 1 * S
 
-NEVER_RAN = {Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.READ}
-CHEAP = {Outcome.READ, Outcome.FULL, Outcome.NO_ROUTE, Outcome.NOT_SENT}  # no work was lost
+NEVER_RAN = {Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.EXHAUSTED, Outcome.READ}
+CHEAP = {Outcome.READ, Outcome.FULL, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.EXHAUSTED}  # no work was lost
 ILL = {Outcome.ERROR, Outcome.TIMED_OUT, Outcome.NO_ROUTE, Outcome.CUT}
 FINAL = {State.GENERATED, State.REJECTED, State.ABORTED, State.LEFT, State.CLEARED}
 
@@ -258,7 +258,9 @@
                 # soon after it was sent, as a reset connection does, lost that much less.
                 took = (self.now - attempt.sent_at) / (QUICK * (seq.slo_at - seq.arrived) + 1)
                 self.again -= min(1.0, took) if outcome not in CHEAP else 0.0
-            if self.again < 0:
+            if outcome is Outcome.EXHAUSTED:
+                self._give_up(seq)
+            elif self.again < 0:
                 self.again = 0.0
                 self._give_up(seq)
             elif not attempt.started_at:
--- a/aniserudder/ledger/books.py
+++ b/aniserudder/ledger/books.py
@@ -35,7 +35,7 @@
 from .service import Ask, Asks, Grant, Hold, Reply
 from .store import LedgerFull, Store
 
-PROVEN = frozenset({Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT})  # nothing ran
+PROVEN = frozenset({Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.EXHAUSTED})  # nothing ran
 SHIP_MOST = 500       # entries in one shipment
 ASK_PENDING = 64      # attempts that are asked for at a time
 BEAT_S = 0.5          # a node shows itself to the ledger so often: one that has started anew waits for what nodes hold and have yet to ship
--- a/aniserudder/platform/attempt_exchange.py
+++ b/aniserudder/platform/attempt_exchange.py
@@ -18,7 +18,7 @@
 SILENCE_S = 4.5          # PROTOCOL: a client is kept waiting less than 5 s after a running engine's last event
 EVENT_S = 30.0           # that an engine may take to write one event
 BREAK, DATA, DONE = b"\n\n", b"data: ", b"data: [DONE]"
-WITHOUT_EFFECT = frozenset({Outcome.READ, Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT})
+WITHOUT_EFFECT = frozenset({Outcome.READ, Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.EXHAUSTED})
 
 
 class ExchangeOwner(Protocol):
--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -18,6 +18,7 @@
 from ..core.router import Router
 from ..decisions.interface import Prompt
 from ..wire.listening import accepts
+from ..wire.connections import NO_DESCRIPTOR
 from ..wire.server import At, Bounds, CloseReason, Exchange, ServerConnection, ServerFactory, ServerResources
 
 PATH, READY = "/v1/chat/completions", "/health/ready"
@@ -192,6 +193,7 @@
         resources.patience = self._patience
         self.ready = self.stopping = False
         self.turned_away = self.shed = 0
+        self.can_forward: Callable[[], bool] = lambda: True  # whether there is a connection to engines for one more request
         self.port: IListeningPort | None = None
         self._early: dict[str, Early] = {}  # came before the list was known
         self._over: dict[int, None] = {}
@@ -240,6 +242,8 @@
             self._refuse(id, exchange, "the node is stopping")
         elif request.prompt.time_left <= NO_TIME_US:  # a decision on it would make those behind it late as well
             self._refuse(id, exchange, "its time was over before it was read")
+        elif self.ready and not self.can_forward():
+            self._refuse(id, exchange, NO_DESCRIPTOR)
         elif self.ready:
             self.router.take(id, request, StreamAnswer(self, exchange, id))
         else:
--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -4,7 +4,8 @@
 outcome     when
 =========== ==============================================================================================
 no route    no connection came up, or it broke before the request's last byte was written: it never ran
-not sent    no descriptor, port or memory was left here: it tells nothing of the engine
+not sent    no port or memory was left here: it tells nothing of the engine
+exhausted   no descriptor was left here: no other engine can be connected to either
 full        503 or 504 with ``Not-Started: 1``: it never ran
 no state    410 with ``Not-Started: 1``: it never ran
 read        202 from a reader
@@ -98,7 +99,9 @@
                 self.invariants.state_claimed(attempt.seq_id)
 
         def failed(reason: str) -> None:
-            if reason in (NO_DESCRIPTOR, LOCAL_TROUBLE):
+            if reason == NO_DESCRIPTOR:
+                return run.finish(Outcome.EXHAUSTED, reason)
+            if reason == LOCAL_TROUBLE:
                 return run.finish(Outcome.NOT_SENT, reason)
             self.reservations.routes.failed(attempt.engine, asked_at, self.reactor.seconds())
             run.finish(Outcome.NO_ROUTE, reason)
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -74,6 +74,7 @@
         self.resources = ServerResources(self.budget, TurnQueue(reactor), RefusalPace(reactor), log)
         self.clients = Clients(self.router, (t.name for t in conf.settings.types), Descriptors(limit, own), reactor, log, self.resources)
         self.engines.on_exhausted = self.clients.exhausted
+        self.clients.can_forward = lambda: self.engines.has_room
         self.router.client_here = self.clients.here
         self.router.read_answer = self.engines.read_answer
         self.engines.invariants, self.engines.lag = self.router.invariants, self.router.lag
--- a/aniserudder/wire/connections.py
+++ b/aniserudder/wire/connections.py
@@ -219,8 +219,7 @@
             self.counts.reused += 1
             ready(kept)
             return _nothing
-        most = self.keeping.most - (0 if urgent else self.keeping.urgent)
-        if self.keeping.most and self.open >= most and not self._make_room():
+        if self._is_full(urgent) and not self._make_room():
             failed(NO_DESCRIPTOR)
             return _nothing
         self.counts.connects += 1
@@ -366,10 +365,22 @@
             while place.idle and place.idle[0][1] < oldest:
                 place.idle.pop(0)[0].drop()
 
+    def _is_full(self, urgent: bool) -> bool:
+        most = self.keeping.most - (0 if urgent else self.keeping.urgent)
+        return bool(self.keeping.most) and self.open >= most
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a call that is not urgent can have a connection: a new one, or one that is kept."""
+        return not self._is_full(urgent=False) or self._has_idle()
+
+    def _has_idle(self) -> bool:
+        self._resting = {place: None for place in self._resting if place.idle}
+        return bool(self._resting)
+
     def _make_room(self) -> bool:
         """Closes the connection that has been idle for longest."""
-        self._resting = {place: None for place in self._resting if place.idle}
-        if not self._resting:
+        if not self._has_idle():
             return False
         min(self._resting, key=lambda place: place.idle[0][1]).idle.pop(0)[0].drop()
         return True
