A decision looks an engine's kept beginnings and read time up once

Cause: for each of the engines a decision looked at, what it keeps was looked up twice and its read time taken twice, and the fallback reader was worked out even where the first suits.

Change: the same figures, each taken once and only where they are used; an engine that keeps nothing is not asked.

--- a/aniserudder/decisions/rules.py
+++ b/aniserudder/decisions/rules.py
@@ -488,16 +488,20 @@
         return count
 
     def _known(self, engine: Engine, seq: Sequence) -> int:
+        if not engine.kept:
+            return 0
         best = 0
         for key, most in self._keys(seq):
-            tokens, at = engine.kept.get(key, (0, 0)) if key else (0, 0)
-            if self.now - at < KEPT_FOR:
-                best = max(best, min(tokens, most))
+            noted = engine.kept.get(key) if key else None
+            if noted is not None and self.now - noted[1] < KEPT_FOR:
+                best = max(best, min(noted[0], most))
         return best
 
     def _kept(self, engine: Engine | None, seq: Sequence) -> int:
-        presumed = seq.prompt.shared_tokens if engine in seq.homes else 0
-        return max(presumed, self._known(engine, seq)) if engine else 0
+        if engine is None:
+            return 0
+        known = self._known(engine, seq)
+        return max(seq.prompt.shared_tokens, known) if engine in seq.homes else known
 
     def _keep(self, engine: Engine, seq: Sequence) -> None:
         for key, tokens in self._keys(seq):
@@ -538,19 +542,21 @@
         lane = self.long_read / self.read_pace.get(Role.READER, FIRST_READ_PACE)
         readers.sort(key=lambda e: (lane * (e.long is not seq.long) + AWAY_TOKENS * away[e] - self._kept(e, seq),
                                     away[e], e not in seq.homes, rank(e, session)))
-        best = next((e for e in readers if self._soon(e, seq, SPILL)),
-                    min(readers, key=lambda e: self._read_time(e, seq), default=None))
+        best = next((e for e in readers if self._soon(e, seq, SPILL)), None)
+        if best is None:
+            best = min(readers, key=lambda e: self._read_time(e, self._left(e, seq)), default=None)
         return best if best and self._soon(best, seq, LESS_ROOM if seq.over_share else 1.0) else None
 
     def _soon(self, engine: Engine, seq: Sequence, part: float) -> bool:
         """Within this part of the SLO, and within what is left of it and of a client's try. Where others wait
         a long read makes them wait in turn: there it counts once more, up to what is waited already."""
         left = min(seq.slo_at, seq.abandon_at) - self.now
-        took = self._read_time(engine, seq)
-        own = self.read_pace.get(engine.role, FIRST_READ_PACE) * self._left(engine, seq)
+        tokens = self._left(engine, seq)
+        took = self._read_time(engine, tokens)
+        own = self.read_pace.get(engine.role, FIRST_READ_PACE) * tokens
         return took <= part * (seq.slo_at - seq.arrived) and took + min(own, took - own) <= ADMIT * left
 
-    def _read_time(self, engine: Engine, seq: Sequence) -> float:
+    def _read_time(self, engine: Engine, tokens: int) -> float:
         """Own tokens at the pace of an idle engine, and a wait that grows with what is outstanding of them,
         in which the other nodes' work shows. What is known of one engine's wait soon tells nothing more: then
         it is taken for as busy as its role usually is, or for idle if it has started since that was seen."""
@@ -560,7 +566,7 @@
         usual = self.read_wait.get(peers, 0.0) if self.noted.get(peers, 0) >= engine.row.started_at else 0.0
         known = math.exp((engine.read_at - self.now) / WAIT_FOR) if engine.read_at else 0.0
         wait, ahead = usual + known * (engine.read_wait - usual), READ_OVERHEAD + engine.reading
-        return pace * (ahead + self._left(engine, seq)) + wait * ahead
+        return pace * (ahead + tokens) + wait * ahead
 
     def _load(self, engine: Engine) -> float:
         """By last report and own sends since, else own streams; set against the listed size. Chance parts
@@ -650,9 +656,10 @@
     def _send(self, seq: Sequence, engine: Engine) -> None:
         left = seq.abandon_at - self.now
         fetches = seq.held and engine.role is not Role.READER
-        remainder = 0 if fetches else READ_OVERHEAD + self._left(engine, seq)
+        tokens = self._left(engine, seq)
+        remainder = 0 if fetches else READ_OVERHEAD + tokens
         reads, patience = engine.role is Role.READER, left
-        expected = READ_PATIENCE * (self._read_time(engine, seq) if remainder else 0)
+        expected = READ_PATIENCE * (self._read_time(engine, tokens) if remainder else 0)
         if reads:
             patience = max(expected, READ_SLO_PART * (seq.slo_at - seq.arrived))
         else:
