Soak: what the proxy's system acknowledged behind a cut counts as taken, too

Its fetch was written 4 ms behind a cut, on a connection made before it; the proxy's system acknowledged the bytes and the proxy threw them away, unnoted. A machine that is cut off acknowledges nothing, and the node then releases the state; what the proxy acknowledges on a new connection was already taken for out where the cut came later.

--- a/aniserudder/soak/proxy.py
+++ b/aniserudder/soak/proxy.py
@@ -61,8 +61,8 @@
     first = True  # nothing came on it yet
 
     def dataReceived(self, data: bytes) -> None:
-        """Notes the first request as it comes: this system acknowledges it to the node, as a network that loses it later would not."""
-        if self.first and not self.silent:
+        """Notes the first request as it comes: this system acknowledges it to the node, as a network that is cut or loses it later would not."""
+        if self.first:
             self.first = False
             found = REQUEST_ID.search(data)
             if found:
