--- a/aniserudder/cli/bills.py
+++ b/aniserudder/cli/bills.py
@@ -1,4 +1,5 @@
 """Prints bills as a table, CSV or JSON."""
+
 from __future__ import annotations
 
 import csv
@@ -18,8 +19,23 @@
 from ..tenants.billing import Line, Price
 from ..tenants.tree import Tree
 
-COLUMNS = ("tenant", "type", "operations", "tries", "read", "kept", "written", "lost_read", "lost_kept", "lost_written",
-           "repeated_read", "repeated_kept", "repeated_written", "unconfirmed", "amount")
+COLUMNS = (
+    "tenant",
+    "type",
+    "operations",
+    "tries",
+    "read",
+    "kept",
+    "written",
+    "lost_read",
+    "lost_kept",
+    "lost_written",
+    "repeated_read",
+    "repeated_kept",
+    "repeated_written",
+    "unconfirmed",
+    "amount",
+)
 
 
 def span(period: str) -> tuple[int, int]:
@@ -36,8 +52,11 @@
         if form == "%Y-%m-%d":
             days = 1
         else:
-            later = begin.replace(year=begin.year + 1) if form == "%Y" else begin.replace(
-                year=begin.year + begin.month // 12, month=begin.month % 12 + 1)
+            later = (
+                begin.replace(year=begin.year + 1)
+                if form == "%Y"
+                else begin.replace(year=begin.year + begin.month // 12, month=begin.month % 12 + 1)
+            )
             days = (later - begin).days
         start = round(begin.timestamp()) * 1_000_000
         return start, start + days * 86_400_000_000
@@ -45,8 +64,17 @@
 
 
 def row(line: Line) -> tuple[object, ...]:
-    return (line.tenant, line.type, line.operations, line.tries, *line.charged.row(), *line.lost.row(), *line.repeated.row(),
-            line.unconfirmed, f"{line.amount:f}")
+    return (
+        line.tenant,
+        line.type,
+        line.operations,
+        line.tries,
+        *line.charged.row(),
+        *line.lost.row(),
+        *line.repeated.row(),
+        line.unconfirmed,
+        f"{line.amount:f}",
+    )
 
 
 def show(period: str, file: str | None, path: str | None, tenant: str | None, form: str, fail: Callable[[str], None]) -> None:
--- a/aniserudder/cli/faulty_disk.py
+++ b/aniserudder/cli/faulty_disk.py
@@ -1,4 +1,5 @@
 """``python -m aniserudder.cli.faulty_disk SCRIPT COMMAND ...``: any command of the program over a disk that fails as a script says."""
+
 from __future__ import annotations
 
 import sys
--- a/aniserudder/cli/fleet.py
+++ b/aniserudder/cli/fleet.py
@@ -1,4 +1,5 @@
 """``aniserudder fleet``: where each node and the ledger are on their way back."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -49,18 +50,29 @@
             bad = bad or not one.get("ready")
             taken = " (another process has this name)" if one.get("name_taken") else ""
             bad = bad or bool(taken)
-            table.add_row(address, str(one.get("node", "-")) + taken, "yes" if one.get("ready") else "no", str(one.get("stage", "-")),
-                          str(one.get("for_s", "-")), str(one.get("engines", "-")), "yes" if one.get("heard") else "no",
-                          str(one.get("term") or "-"), str(one.get("turned_away", "-")))
+            table.add_row(
+                address,
+                str(one.get("node", "-")) + taken,
+                "yes" if one.get("ready") else "no",
+                str(one.get("stage", "-")),
+                str(one.get("for_s", "-")),
+                str(one.get("engines", "-")),
+                "yes" if one.get("heard") else "no",
+                str(one.get("term") or "-"),
+                str(one.get("turned_away", "-")),
+            )
         console.print(table)
     if status:
         found = status.result()
         if isinstance(found, str):
             console.print(f"ledger {ledger}: {found}", highlight=False)
             return True
-        console.print(f"ledger {ledger}: term {found['term']}, {found['phase']}, {found['told']} nodes have told"
-                      + (", its file was older than what they hold" if found["old"] else "")
-                      + (f", waits for entries of {', '.join(found['behind'])}" if found["behind"] else ""), highlight=False)
+        console.print(
+            f"ledger {ledger}: term {found['term']}, {found['phase']}, {found['told']} nodes have told"
+            + (", its file was older than what they hold" if found["old"] else "")
+            + (f", waits for entries of {', '.join(found['behind'])}" if found["behind"] else ""),
+            highlight=False,
+        )
         table = Table(title="budgets", title_justify="left")
         for name in ("budget", "most", "out", "held by nodes", "of lives that ended", "known only by hearsay", "other settings"):
             table.add_column(name, justify="left" if name == "budget" else "right")
--- a/aniserudder/cli/soak.py
+++ b/aniserudder/cli/soak.py
@@ -1,4 +1,5 @@
 """``aniserudder soak``: randomized faults on real processes, one seed after the other."""
+
 from __future__ import annotations
 
 import shutil
@@ -27,8 +28,9 @@
     shutil.rmtree(folder, ignore_errors=True)
 
 
-def show(seeds: list[int], seconds: float, keep: str, copies: int | None = None, clients: int | None = None,
-         profile: Profile = Profile.MIXED) -> int:
+def show(
+    seeds: list[int], seconds: float, keep: str, copies: int | None = None, clients: int | None = None, profile: Profile = Profile.MIXED
+) -> int:
     """Plays each seed and prints what came of it. Returns how many rules were broken in all.
 
     ``copies`` and ``clients`` replace what a seed draws (``scenario.draw``).
