--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -520,7 +520,7 @@
 
         def __init__(self, engine, reads, ordinal):
             self.engine, self.reads, self.ordinal, self.told = engine, reads, ordinal, []
-            self.request = type("R", (), {"headers": (), "target": "/", "body": b""})
+            self.request = type("R", (), {"headers": (), "target": "/", "body": b"", "prompt": type("P", (), {"tokens": 900})})
 
         def goes_out(self):
             return self.time_out
