--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Mixed engines become readers while they have once-only requests; their old processes end 0.15 s later. Rule: once."""
+"""A node comes back with its last list while discovery answers slowly; an engine drains since the node was away. Rule: drain."""
 import asyncio
 import random
 import sys
@@ -7,17 +7,18 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 from world import TROUBLE, Habits, play, settings  # noqa: E402
 
-OLD_ENDS_S = 0.15  # from the list's word to the end of the process in the old role
-RATE = 20.0
-NEVER_RAN = {"full", "its time is up", "turned away, draining"}
+AWAY_S = 7.5            # from the kill to the new process
+SLOW_S = 2.5            # that each answer of the agent takes
+GRACE_S = 0.5 + 0.05    # drain-grace of the settings, and the protocol's 50 ms
+TOLD_S = 6.0            # a change counts as told so long after discovery had it, whatever happens
+RATE = 12.0
 
 
 async def script(world):
     chance = random.Random(5)
-    for n in range(2):
-        await world.engine(f"r{n}", "prefill", "read", n % 2, Habits(rate=14_000.0))
-    for n in range(5):
-        await world.engine(f"m{n}", "mixed", "both", n % 2, Habits(rate=8_500.0, at_once=60))
+    for n in range(3):
+        await world.engine(f"r{n}", "prefill", "read", n % 2, Habits())
+        await world.engine(f"w{n}", "decode", "write", n % 2, Habits(at_once=60))
     agent = await world.agent()
     node = world.node("n1", settings())
     node.start(agent.whole(), agent)
@@ -26,41 +27,36 @@
     async def load(seconds):
         until = world.now() + seconds
         while world.now() < until:
-            world.request(node.port, "send", f"s{world.count}", f"p{chance.randrange(20)}", chance.randrange(3000, 7700), 2700, 10.0)
+            kind = chance.choice(["draft", "draft", "send"])
+            world.request(node.port, kind, f"s{chance.randrange(200)}", f"p{chance.randrange(20)}", chance.randrange(1500, 3000), 1200,
+                          6.0 if kind == "draft" else 10.0)
             await asyncio.sleep(chance.expovariate(RATE))
 
-    async def role_changes():
-        """In the evening three mixed boxes become readers, one after the other."""
-        for name in ("m1", "m2", "m3"):
-            await asyncio.sleep(4.0)
-            if not TROUBLE:
-                continue
-            box = world.engines[name]
-            old = [a for a in box.running if not a.reads]
-            box.flavor, box.role = "prefill", "read"  # what comes from now on is read
-            agent.has_changed(box)
-            await asyncio.sleep(OLD_ENDS_S)
-            for attempt in old:
-                if attempt in box.running:
-                    world.note("reset", attempt.id, f"at {name}, whose process in the old role ends")
-                    box.running.remove(attempt)
-                    attempt.how = "reset"
-                    attempt.connection.transport.abort()
-
-    changing = asyncio.ensure_future(role_changes())
-    await load(16.0)
-    await changing
-    await world.over(15.0)
-    broken = []
-    for one in world.requests.values():
-        attempts = sorted(one.attempts, key=lambda a: a.at)
-        ran = [a for a in attempts if not a.reads and a.how not in NEVER_RAN]
-        again = [a for a in attempts if ran and a.at > ran[0].at]
-        if again:
-            broken.append(f"{one.id}: may have run at {ran[0].engine} ({ran[0].how or 'given up'} at {ran[0].over:.3f}), sent again to "
-                          f"{', '.join(f'{a.engine} at {a.at:.3f}' for a in again)}, client told {one.status}")
-    reset = sum(a.how == "reset" for one in world.requests.values() for a in one.attempts)
-    return broken, [f"{len(world.requests)} requests of `send` (once-only), {reset} attempts reset"]
+    await load(4.0)
+    await world.over(12.0)
+    last_list = agent.whole()  # as this node had it last
+    node.end()
+    world.note("killed", "n1", "")
+    drains = world.engines["w1"]
+    drains.phase = "DRAINING"
+    agent.has_changed(drains)
+    drained_at = world.now()
+    await asyncio.sleep(AWAY_S)
+    if TROUBLE:
+        agent.answers_after = SLOW_S
+        world.note("slow", "discovery", f"each answer takes {SLOW_S} s")
+    started_at = world.now()
+    node.start(last_list, agent)
+    await node.ready()
+    await load(6.0)
+    await world.over(12.0)
+    told_at = max(started_at, drained_at + TOLD_S)  # by whichever sentence is later
+    late = [a for a in drains.arrivals if a.at > told_at + GRACE_S]
+    asked = [r for r in world.requests.values() if r.sent]
+    broken = [f"{a.id}: sent to w1 {a.at - drained_at:.3f} s after the agent had its drain, {a.at - started_at:.3f} s after the process began"
+              for a in late]
+    return broken, [f"{len(asked)} requests, drained at {drained_at:.3f}, new process at {started_at:.3f}, {len(late)} sent to w1 later than "
+                    f"{told_at + GRACE_S:.3f}"]
 
 
 if __name__ == "__main__":
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -344,6 +344,12 @@
         self.server = await asyncio.get_running_loop().create_server(lambda: Http(self), "127.0.0.1", 0, backlog=256)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def leave(self) -> None:
+        """Discovery is elsewhere: no new connection is accepted, and the open ones are closed."""
+        self.server.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
+
     def whole(self) -> dict:
         return {"revision": self.revision, "complete": True,
                 "members": [e.member() for e in self.world.engines.values() if e.phase != "DELETED"]}
@@ -396,18 +402,26 @@
         self.port = 0
         self.starts = 0
 
+    def configure(self, known: dict, agent: Agent) -> Path:
+        """Writes the node's configuration, whole, in place of the one before."""
+        self.known = known
+        conf = {"name": self.name, "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{agent.port}",
+                "seed": f"{self.starts:x}1f", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **self.more.get("limits", {})},
+                "known": known, "settings": self.more["settings"]}
+        path = self.world.folder / f"{self.name}.json"
+        fresh = path.with_suffix(".new")
+        fresh.write_text(json.dumps(conf))
+        fresh.rename(path)
+        return path
+
     def start(self, known: dict, agent: Agent) -> None:
         world = self.world
         if not self.port:
             self.port = free_port()
         self.starts += 1
-        conf = {"name": self.name, "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{agent.port}",
-                "seed": f"{self.starts:x}1f", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **self.more.get("limits", {})},
-                "known": known, "settings": self.more["settings"]}
-        path = world.folder / f"{self.name}.json"
-        path.write_text(json.dumps(conf))
+        path = self.configure(known, agent)
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-        environment = {**os.environ, "NODE_NAME": self.name, "NODE_LISTEN": conf["listen"], "NODE_DISCOVERY": conf["discovery"],
+        environment = {**os.environ, "NODE_NAME": self.name, "NODE_LISTEN": f"127.0.0.1:{self.port}", "NODE_DISCOVERY": f"127.0.0.1:{agent.port}",
                        "NODE_CONFIG": str(path), "TMPDIR": str(world.folder), "NODE_LOG_LEVEL": os.environ.get("NODE_LOG_LEVEL", "info")}
         self.log = open(world.folder / f"{self.name}.log", "ab")
         self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
