--- a/tests/reservation_stand.py
+++ b/tests/reservation_stand.py
@@ -113,6 +113,12 @@
         self.sends_read(request)
         self.tracker.given_up(request, engine, True, told_s, self.reactor.seconds() + told_s, True)
 
+    def gives_up_fetch(self, request: str = "a1", engine: str = "w1") -> None:
+        """A read has left its state, and the attempt that fetches it is given up."""
+        self.tracker.read_ended(request, "r1", 0.0)
+        self.sends_fetch(request)
+        self.tracker.given_up(request, engine, False, 0.0, self.reactor.seconds(), True)
+
     def run(self, seconds: float) -> None:
         self.reactor.pump([STEP_S] * round(seconds / STEP_S))
 
