Soak: engines that work several times slower for long and go on with what was given up

Cause: the soak's longest read took 1.9 s whatever else its engine read, so it could not see what a slow engine leaves behind.

Change: profile 'slow': one engine at a time works 2.7 to 9.9 times slower for 11 to 34 s, in the middle of its reads too; readers go on with reads however their connection ended and tell how much of a prompt was kept; 20 s of quiet before the end. Plans of the other profiles are as they were. A node that has not ended 3.9 s behind SIGTERM is killed, as its platform may do, and counts as a breach unless an attempt of its requests was given up in the last minute: until now any such node counted, and one that follows given-up attempts has to stay.

--- a/aniserudder/soak/driver.py
+++ b/aniserudder/soak/driver.py
@@ -30,13 +30,14 @@
 FRONT_NOTICES_S = 0.4     # PROTOCOL: so long after SIGTERM new connections keep coming
 FRONT_TAKES_BACK_S = 1.0  # after a node's start
 END_S = 3.9    # that an idle node has for ending in order
-SETTLE_S = 7.0  # after the last fault, until all that is owed has come
 SERIES_GAP_S = (0.01, 0.05)  # between signals of a series
 SERIES = ((signal.SIGHUP, signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP),
           (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGINT))
 PARTITION_S = (1.0, 6.0)  # that a node reaches one engine alone
 ISOLATION_S = (0.5, 4.5)  # that it reaches none
 HANG_S = (1.0, 4.0)       # that two engines of a role hang together
+SLOWER = (2.7, 9.9)       # times that a slow engine takes longer
+SLOW_S = (11.0, 34.0)     # that it is slow
 ABUSE = (Form.SILENT, Form.SHORT_FIELDS, Form.HALF_BODY, Form.SLOW_HEAD, Form.TRAILERS, Form.MIXED, Form.UNKNOWN_PATHS, Form.UNSOUND)
 ALL_TERM_GAP_S = 0.6  # between SIGTERMs to one node after the other
 WALL_STEPS_S = (3600.0, -3600.0, 7.0, -7.0, 2.5, -2.5)
@@ -95,6 +96,7 @@
         self._busy_engines: set[str] = set()
         self._in_front = set(self.stage.nodes)
         self._partitioned: set[str] = set()
+        self._slow_engine = ""
 
     def play(self) -> Result:
         """Runs the soak to its end."""
@@ -106,7 +108,7 @@
             self._until(began + self.seconds)
             for name in [n for n in self.stage.helpers if n.startswith("clients")]:
                 self.stage.helpers[name].tell(stop=True)
-            self._until(time.monotonic() + SETTLE_S)
+            self._until(time.monotonic() + self.scenario.settle_s)
             self.stage.check()
             self._end_nodes()
         finally:
@@ -138,10 +140,10 @@
         until = time.monotonic() + max(END_S, self.scenario.kill_after_s)
         while time.monotonic() < until and any(p.poll() is None for p in self.stage.processes.values()):
             time.sleep(0.05)
-        for node, process in self.stage.processes.items():
-            code = process.poll()
-            if code is None:
-                self.stage.log.note(Kind.NODE_ENDED, node=node, value=-1, text="has nothing to do and does not end on SIGTERM")
+        for node, process in list(self.stage.processes.items()):
+            if process.poll() is None:
+                self.stage.log.note(Kind.NODE_STAYS, node=node)
+                self.stage.kill_node(node)
         self.stage.reap()
 
     # Faults.
@@ -290,6 +292,18 @@
         self.stage.helpers[engine].tell(failing=0.1 + 0.4 * planned.draw)
         self._after(planned.lasts, lambda: self.stage.helpers[engine].tell(failing=0.0))
 
+    def _engine_slow(self, planned: Planned, node: str, engine: str) -> None:
+        """It works several times slower for long; one at a time, and what it has begun goes on."""
+        if self._slow_engine:
+            return
+        self._slow_engine = engine
+        self.stage.helpers[engine].tell(slower=_between(SLOWER, planned.draw))
+
+        def back() -> None:
+            self.stage.helpers[engine].tell(slower=1.0)
+            self._slow_engine = ""
+        self._after(_between(SLOW_S, planned.draw * 7 % 1), back)
+
     def _engine_spoils(self, planned: Planned, node: str, engine: str) -> None:
         """Some of its streams are spoilt by something that keeps coming."""
         self.stage.helpers[engine].tell(spoiling=0.1 + 0.4 * planned.draw)
--- a/aniserudder/soak/engine.py
+++ b/aniserudder/soak/engine.py
@@ -22,15 +22,21 @@
 TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nnot-started: 1\r\ncontent-length: 0\r\n\r\n"
 STATE_MISSING = b"HTTP/1.1 410 Gone\r\nnot-started: 1\r\ncontent-length: 0\r\n\r\n"
 FAILED = b"HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n"
-READ = b'HTTP/1.1 202 Accepted\r\ncontent-length: 19\r\n\r\n{"cached_tokens":0}'
 RELEASED = b"HTTP/1.1 204 No Content\r\n\r\n"
 NOT_FOUND = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n"
 SLOTS = 24                   # requests at a time; more are turned away
 READ_S = (0.02, 0.12)        # that a read takes, drawn for each
+READ_STEP_S = 0.1            # of a read between looks at how slow the engine is
 WAIT_S = (0.01, 0.25)        # that a stream waits for its slot
 EVENT_S, EVENTS = 0.04, (3, 15)
 
 
+def read_answer(kept: int) -> bytes:
+    """What a reader answers that found so many tokens kept."""
+    body = b'{"cached_tokens":%d}' % kept
+    return b"HTTP/1.1 202 Accepted\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body)
+
+
 def chunk(data: bytes) -> bytes:
     return b"%x\r\n%b\r\n" % (len(data), data)
 
@@ -49,6 +55,7 @@
     connection: RequestReader
     number: int  # of the attempts that this process has seen
     over: bool = False
+    read_s: float = 0.0  # that its read takes at the engine's usual pace
 
 
 class Engine:
@@ -62,16 +69,17 @@
         self.name, self.reads_only = specification["name"], specification["role"] == "read"
         self.states, self.log, self.chance = Path(specification["states"]), log, chance
         self.habits = EngineHabits(**specification["habits"])
-        self.draining, self.failing, self.spoiling, self.attempts = False, 0.0, 0.0, 0
+        self.draining, self.failing, self.spoiling, self.slower, self.attempts = False, 0.0, 0.0, 1.0, 0
         self.work: dict[RequestReader, Work] = {}
         listen(specification["port"], lambda: RequestReader(self._asked, self._closed))
         log.note(Kind.ENGINE_UP, engine=self.name)
 
     def obey(self, command: dict[str, Any]) -> None:
-        """``{"draining": true}``, ``{"failing": 0.3}``, ``{"spoiling": 0.3}``."""
+        """``{"draining": true}``, ``{"failing": 0.3}``, ``{"spoiling": 0.3}``, ``{"slower": 9.9}``."""
         self.draining = command.get("draining", self.draining)
         self.failing = command.get("failing", self.failing)
         self.spoiling = command.get("spoiling", self.spoiling)
+        self.slower = command.get("slower", self.slower)
 
     def _asked(self, connection: RequestReader, request: HttpRequest) -> None:
         if request.method == "DELETE":
@@ -86,10 +94,11 @@
         if self.draining or len(self.work) > SLOTS:
             self._end(work, End.TURNED_AWAY, TURNED_AWAY)
         elif self.reads_only:
-            self._later(work, self._read_s(), self._read)
+            work.read_s = self._read_s()
+            self._read_on(work, work.read_s)
         else:
             self._wants(work).touch()
-            self._later(work, self.chance.uniform(*WAIT_S), self._write)
+            self._later(work, self.slower * self.chance.uniform(*WAIT_S), self._write)
 
     def _later(self, work: Work, seconds: float, step: Any, *more: Any) -> None:
         reactor.callLater(seconds, self._step, work, step, more)
@@ -102,6 +111,18 @@
         if not work.over:
             step(work, *more)
 
+    def _read_on(self, work: Work, left_s: float) -> None:
+        """Reads the next part of a prompt; ``left_s`` is what is left of it at the engine's usual pace."""
+        if left_s <= 0:
+            return self._read(work)
+        step_s = min(left_s, READ_STEP_S)
+        self._later(work, self.slower * step_s, self._read_on, left_s - step_s)
+
+    def _kept(self, work: Work) -> int:
+        """Tokens of its prompt that a read found kept: what it read took its time."""
+        longest_s = self.habits.long_read_s[1]
+        return round(self.habits.prompt_tokens * (1 - min(1.0, work.read_s / longest_s)))
+
     def _wants(self, work: Work) -> Path:
         """Is there while an attempt waits for the state of its request."""
         return wanted_folder(self.states) / f"{work.request}.{self.name}.{work.number}"
@@ -115,7 +136,7 @@
         self.log.note(Kind.STATE_HELD, request=work.request, engine=self.name)
         if fails:
             return self._fail(work)
-        self._end(work, End.READ, READ)
+        self._end(work, End.READ, read_answer(self._kept(work)))
 
     def _write(self, work: Work) -> None:
         once, here = self.states / f"{work.request}.once", self.states / work.request
@@ -174,6 +195,8 @@
         if work is None:
             return
         self.log.note(Kind.ATTEMPT_CUT_OFF, request=work.request, engine=self.name, value=work.number)
+        if self.reads_only and self.habits.goes_on:
+            return
         if not (connection.was_reset and self.reads_only and self.chance.random() < self.habits.reads_on):
             reactor.callLater(self.chance.uniform(*self.habits.hears_s), self._hears, work)
 
--- a/aniserudder/soak/events.py
+++ b/aniserudder/soak/events.py
@@ -33,6 +33,7 @@
     NODE_TERM = "node told to end"
     NODE_KILLED = "node killed"      # SIGKILL was sent
     NODE_GONE = "node gone"          # its process has ended behind that
+    NODE_STAYS = "node stays"        # it has not ended in its time behind SIGTERM, and is killed
     NODE_ENDED = "node ended"        # ``value`` is its exit code
     NODE_RELOADED = "node reloaded"  # SIGHUP moved its discovery
     NODE_PAUSED = "node paused"      # until ``value``
--- a/aniserudder/soak/plan.py
+++ b/aniserudder/soak/plan.py
@@ -37,6 +37,7 @@
     ROLE_HANG = auto()
     ABUSIVE_CLIENTS = auto()
     ENGINE_SPOILS = auto()
+    ENGINE_SLOW = auto()
 
 
 class Profile(Enum):
@@ -44,6 +45,7 @@
     MIXED = "mixed"
     PARTITIONS = "partitions"  # nodes that reach one engine or none, engines of a role that hang together, silent links
     RESTARTS = "restarts"      # the same, and four times as many SIGTERMs
+    SLOW = "slow"              # engines that work several times slower for long, and go on with what was given up
     CROWDS = "crowds"          # the least memory, hundreds of abusive clients, spoilt streams that keep coming
 
 
@@ -88,7 +90,12 @@
     Fault.ABUSIVE_CLIENTS: 40,
     Fault.ENGINE_SPOILS: 15,
 }
-PROFILE_WEIGHTS = {Profile.MIXED: WEIGHTS, Profile.PARTITIONS: PARTITION_WEIGHTS, Profile.RESTARTS: RESTART_WEIGHTS, Profile.CROWDS: CROWD_WEIGHTS}
+SLOW_WEIGHTS = {
+    **WEIGHTS,
+    Fault.ENGINE_SLOW: 25,
+}
+PROFILE_WEIGHTS = {Profile.MIXED: WEIGHTS, Profile.PARTITIONS: PARTITION_WEIGHTS, Profile.RESTARTS: RESTART_WEIGHTS, Profile.CROWDS: CROWD_WEIGHTS,
+                   Profile.SLOW: SLOW_WEIGHTS}
 
 
 @dataclass(slots=True, frozen=True)
--- a/aniserudder/soak/scenario.py
+++ b/aniserudder/soak/scenario.py
@@ -7,6 +7,8 @@
 from .plan import Profile
 
 LONGEST_COUNTED_S = 3.0  # PROTOCOL: a longer deadline counts as this before SIGKILL
+SETTLE_S = 7.0
+SLOW_SETTLE_S = 20.0     # the longest read at the slowest engine
 KILL_AFTER_S = 0.7       # PROTOCOL: SIGKILL comes no sooner than the longest deadline and this after SIGTERM
 LONG_DEADLINES = {"draft": 2.5, "mark": 2.5, "send": 3.0}
 SHORT_DEADLINES = {"draft": 0.6, "mark": 0.6, "send": 0.9}
@@ -31,6 +33,8 @@
         hears_s: until an engine takes note that its node has ended a connection, from and to.
         reads_on: the part of the reads whose connection was reset that go on to their end.
         fails_behind_read: whether a reader that fails has read its prompt and holds the state.
+        goes_on: whether a reader goes on with a read however its connection ended.
+        prompt_tokens: of each request; a read tells how many of them were kept, by the time that it took. 0: it tells that none was.
     """
 
     long_reads: float = 0.25
@@ -38,8 +42,11 @@
     hears_s: tuple[float, float] = (0.0, 0.1)
     reads_on: float = 0.3
     fails_behind_read: bool = False
+    goes_on: bool = False
+    prompt_tokens: int = 0
 
 
+SLOW_ENGINES = EngineHabits(long_reads=0.4, long_read_s=(0.12, 1.9), goes_on=True)
 LATE_ENGINES = EngineHabits(long_reads=0.4, long_read_s=(0.12, 1.9), hears_s=(0.0, 0.4), reads_on=0.9, fails_behind_read=True)
 FAILING_READERS = EngineHabits(fails_behind_read=True)
 HABITS = (LATE_ENGINES, LATE_ENGINES, FAILING_READERS)
@@ -77,6 +84,11 @@
         """Seconds from SIGTERM to the earliest SIGKILL that the protocol page allows."""
         return min(LONGEST_COUNTED_S, max(self.deadlines.values())) + KILL_AFTER_S
 
+    @property
+    def settle_s(self) -> float:
+        """Seconds after the last fault until all that is owed has come."""
+        return SLOW_SETTLE_S if self.profile is Profile.SLOW else SETTLE_S
+
     def line(self) -> str:
         """For a person."""
         return (f"{self.profile.value}, deadlines to {max(self.deadlines.values()):g} s, kill {self.kill_after_s:g} s after SIGTERM, each "
@@ -90,6 +102,8 @@
     clients = chance.choice((*CLIENTS, MANY_CLIENTS))
     crowd = 0 if clients == MANY_CLIENTS else chance.choice(CROWD)
     drawn = Scenario(deadlines, chance.choice(COPIES[:3]), clients, crowd, profile, chance.choice(HABITS), chance.choice(PROMPT_TOKENS))
+    if profile is Profile.SLOW:
+        return replace(drawn, habits=replace(SLOW_ENGINES, prompt_tokens=drawn.prompt_tokens))
     if profile is not Profile.CROWDS:
         return drawn
     return replace(drawn, clients=CLIENTS[0], abusive_clients=chance.choice(ABUSIVE_CLIENTS), memory_mb=LEAST_MEMORY_MB,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -213,6 +213,22 @@
     assert "32 MB" in ran.stdout and "abusive_clients" in ran.stdout
 
 
+def test_a_soak_of_engines_that_work_slowly_breaks_no_rule(tmp_path):
+    """Seed 1: a reader 9.9 times slower goes on with reads of up to 19 s that their nodes gave up; states lay to the end, up to 26 s."""
+    command = [sys.executable, "-m", "aniserudder", "soak", "--profile", "slow", "--seed", "1", "--seconds", "14", "--clients", "16", "--keep", str(tmp_path / "kept")]
+    ran = subprocess.run(command, capture_output=True, text=True)
+    assert ran.returncode == 0, ran.stdout + ran.stderr
+    assert "engine_slow" in ran.stdout
+
+
+def test_a_node_that_stays_behind_its_time_though_nothing_can_come_is_a_breach():
+    def story(over_here_after, over_at_engine, stays_after):
+        story = Story().at(0.1, Kind.ATTEMPT, engine="r1", value=1.5, text="1").answered(over_here_after, "503")
+        story.at(over_at_engine, Kind.ATTEMPT_OVER, engine="r1", text=End.TURNED_AWAY.value, value=1)
+        return story.at(stays_after, Kind.NODE_STAYS, request="").broken()
+    assert story(0.5, 20.0, 30.0) == [] and story(0.5, 0.4, 30.0) == [Rule.PROCESS] and story(0.5, 20.0, 70.0) == [Rule.PROCESS]
+
+
 def test_a_spoilt_stream_that_ends_late_is_a_breach():
     def story(ended_after):
         return Story().at(0.2, Kind.STREAM_BEGAN).attempt(0.1, 0.9, End.FAILED).answered(ended_after, "broken").broken()
