Given-up attempts are followed until their engine is past them, not for a time worked out

Cause: the tracker stopped repeating releases 2 s, or the told time again, or ten times a quick read's pace, behind the told time. The reader shares its pace among the reads of all nodes, so that time is wrong by any factor; one confirmed release behind it ended the matter (ReservationTracker._confirmed). The monitor was told the same moment (state_may_come), so it could not see it. Ruled out by the record of the case: no release failed (the reader answered each in milliseconds), no loop was late (5 ms), the last release of each lost state went out before its read ended.

Change: core/late_releases.py takes over where the repeats ended: a release each let-go time for 60 s behind the told time, for reads and for fetches; sooner seldom (5 more over ten minutes) once the engine has shown that it is past that work: it has read as many tokens for later reads, one behind the other, or begun a later stream (decisions/engine_progress.py). It replaces read_durations.py. Bounds: 200 late releases a second, 8 unconfirmed, 2,048 attempts. A stopping node stays for them, 75 s at most, unless it is killed. The monitor has its own bound (60 s) and its own account of what engines have done since.

Why it works: nothing is left that works out when a read ends. What is wrong about an engine's order delays a release, it does not end them.

--- a/aniserudder/core/reservation_tracker.py
+++ b/aniserudder/core/reservation_tracker.py
@@ -20,8 +20,10 @@
 
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
+from ..decisions.engine_progress import UNKNOWN_TOKENS, EngineProgress
 from ..decisions.release_routes import ReleaseRoutes, Route
 from .invariants import InvariantMonitor
+from .late_releases import LateReleases
 from .reservation import (
     AFTER_FAILURE_S,
     OVERDUE_TRIES,
@@ -35,7 +37,7 @@
     WaitingState,
 )
 
-GOES_ON_S = 2.0  # for which an engine may work on with what was given up, behind the time it was told or a silence of its own, at least
+GOES_ON_S = 2.0  # behind the time that an engine was told, or a silence of its own: then ``LateReleases`` take over
 REPEAT_LEAST_S = 0.1  # between releases that are repeated, however short the settings' time
 REPEATS_PER_S = 800  # over all requests; where there are more, each is repeated less often
 SILENT_MOST_S = 30.0  # for which releases are repeated while an engine stands still; from then on only when it is heard again
@@ -52,6 +54,7 @@
 CALLS_MOST = 64  # release calls under way at a time: more would take the connections that attempts and other releases need
 TURN_AGAIN_S = 0.38  # between turns of one release that is not overdue, as calls that come late must not feed a jam
 STRANDED_AT_ONCE = 4  # releases that found no way, tried through an engine when it is heard; each answer is heard again
+LATE_AT_ONCE = 8  # late releases that wait for their confirmation
 STRANDED_AGAIN_S = 0.1  # between such tries of one release
 WORD_EACH_S = 0.1  # an engine that was heard so shortly ago tells nothing new
 
@@ -110,10 +113,13 @@
         self.calls, self.let_go_s, self.log = calls, let_go_s, log
         self.records: dict[str, Reservation] = {}
         self.routes = ReleaseRoutes(calls.address_of)
+        self.progress = EngineProgress()
+        self.late = LateReleases(calls.reactor, self.progress, let_go_s, self._has_room_for_late, self._release_late, self._drop_late)
         self.overdue = self.repeated = self.dropped = 0
         self._silent = SilentEngines()
         self._stranded: dict[str, None] = {}  # requests whose release finds no way
         self._stranded_timer: IDelayedCall | None = None
+        self._late: dict[str, None] = {}  # requests whose late release no engine has confirmed yet
         self._followed = 0  # records with given-up attempts
         self._heard_at: dict[str, float] = {}
         self._looks = 0  # for a way, so far
@@ -136,7 +142,7 @@
     @property
     def is_settled(self) -> bool:
         """Whether nothing is held, and nothing can come to be held, that only this process would release."""
-        return not self.records
+        return not self.records and not self.late.expected
 
     @property
     def holds_states(self) -> bool:
@@ -145,8 +151,8 @@
 
     @property
     def followed(self) -> int:
-        """Requests with given-up attempts that may still leave something."""
-        return self._followed
+        """Given-up attempts that may still leave something."""
+        return self._followed + self.late.expected
 
     def state_waits(self, request: str) -> bool:
         """Whether a state waits for its fetch."""
@@ -201,9 +207,7 @@
         self._wait_anew(record, arrived, state_unknown)
         self._plan(record)
 
-    def given_up(
-        self, request: str, engine: str, is_read: bool, told_s: float, over_by: float, arrived: bool, ends_by: float = 0.0
-    ) -> None:
+    def given_up(self, request: str, engine: str, is_read: bool, told_s: float, over_by: float, arrived: bool, tokens: int = 0) -> None:
         """A sent attempt ended here before its engine said how. A read that ended just as its connection went has left its state, and one that
         goes on will leave it; a writer may hold on to the state that it waits for until it hears of the end.
 
@@ -214,12 +218,16 @@
             told_s: seconds that its engine was told.
             over_by: seconds of the injected clock; behind that its engine begins nothing of it.
             arrived: whether its bytes had surely reached the engine.
-            ends_by: when it ends at the slowest engine, if it is a read.
+            tokens: of its prompt; 0: not known.
         """
         record = self._record(request)
         record.out = None
-        ends_by = min(ends_by, self._now + SILENT_MOST_S)
-        self._follow(record, engine, max(max(self._now, over_by) + max(GOES_ON_S, told_s), ends_by + self.let_go_s))
+        over_by = max(self._now, over_by)
+        until = over_by + max(GOES_ON_S, told_s)
+        address, work_tokens = self.calls.address_of(engine), (tokens or UNKNOWN_TOKENS) if is_read else math.inf
+        self.calls.invariants.work_given_up(request, address, work_tokens, self._us(self._now), self._us(over_by))
+        self._follow(record, engine, until)
+        self.late.follow(request, engine, self.progress.gave_up(address, work_tokens, self._now), over_by, until)
         if is_read:
             record.state = None
             self._ask(record, engine)
@@ -227,6 +235,40 @@
             self._wait_anew(record, arrived, False)
         self._plan(record)
 
+    def _has_room_for_late(self) -> bool:
+        """Whether few late releases wait for their confirmation."""
+        if len(self._late) < LATE_AT_ONCE:
+            return True
+        records = map(self.records.get, self._late)
+        return sum(record is not None and not record.is_awaited for record in records) < LATE_AT_ONCE
+
+    def _release_late(self, request: str, engine: str) -> bool:
+        """What a given-up attempt may have left by now is released, unless that is done anyway or an attempt needs it."""
+        record = self.records.get(request)
+        if record is not None and (record.given_up is not None or record.release is not None or record.is_awaited):
+            return False
+        record = self._record(request)
+        self._late[request] = None
+        self._ask(record, self.calls.proven() or engine)
+        self._plan(record)
+        return True
+
+    def _drop_late(self, request: str) -> None:
+        self.dropped += 1
+        self.log("given-up attempt dropped", level="warning", seq=request, reason="more are followed than fit")
+
+    def engine_has_read(self, engine: str, sent_at: float, ended_at: float, tokens: int) -> None:
+        """A read that was sent and ended then has ended well; ``tokens`` were read, without those that were found kept."""
+        address = self.calls.address_of(engine)
+        self.progress.read_ended(address, sent_at, ended_at, tokens)
+        self.calls.invariants.engine_has_read(address, self._us(sent_at), self._us(ended_at), tokens)
+
+    def engine_has_begun(self, engine: str, sent_at: float) -> None:
+        """The stream of an attempt that was sent then has begun."""
+        address = self.calls.address_of(engine)
+        self.progress.stream_began(address, sent_at)
+        self.calls.invariants.engine_has_begun(address, self._us(sent_at), self._us(self._now))
+
     def let_go(self, request: str, engine: str) -> None:
         """The router wants nothing of a request's states any more."""
         record = self._record(request)
@@ -251,7 +293,6 @@
         record.state = WaitingState(state.engine, self._now + self.let_go_s)
 
     def _follow(self, record: Reservation, engine: str, until: float) -> None:
-        self.calls.invariants.state_may_come(record.request, self._us(self._now), self._us(until))
         if record.given_up is None:
             record.given_up = GivenUpAttempts(until, self._now + self.repeat_s)
             self._followed += 1
@@ -294,6 +335,7 @@
         self._drop_release(record)
         self._stop_following(record)
         self._stranded.pop(record.request, None)
+        self._late.pop(record.request, None)
         self.records.pop(record.request, None)
 
     def _stop_following(self, record: Reservation) -> None:
@@ -310,6 +352,7 @@
             return
         if record.release is None:
             self._stranded.pop(record.request, None)
+            self._late.pop(record.request, None)
         if record.is_settled:
             return self._remove(record)
         due_at = record.next_at()
@@ -468,6 +511,8 @@
         if followed is not None:
             followed.repeat_at = asked_at + self.repeat_s
             if asked_at >= followed.until and not self._may_go_on(followed):
+                for its_engine in followed.engines:
+                    self.late.begins(record.request, its_engine)
                 self._stop_following(record)
         self._plan(record)
 
@@ -630,6 +675,7 @@
     def close(self) -> None:
         """Nothing is done any more."""
         self._closed = True
+        self.late.close()
         if self._stranded_timer is not None and self._stranded_timer.active():
             self._stranded_timer.cancel()
         for record in self.records.values():
--- a/aniserudder/platform/attempt_exchange.py
+++ b/aniserudder/platform/attempt_exchange.py
@@ -40,12 +40,13 @@
     """One schedule attempt on its connection (``wire.client.Exchange``)."""
 
     __slots__ = ("engines", "attempt", "connection", "status", "rest", "whole", "usage", "over", "heard", "watch",
-                 "began", "event_began", "looked_again", "passed", "sent_at", "over_by", "fetches_state", "memory", "_had_arrived")
+                 "tokens_read", "began", "event_began", "looked_again", "passed", "sent_at", "over_by", "fetches_state", "memory", "_had_arrived")
 
     def __init__(self, engines: ExchangeOwner, attempt: Attempt) -> None:
         self.engines, self.attempt = engines, attempt
         self.connection: ClientConnection | None = None
         self.status, self.rest, self.whole, self.usage, self.over = 0, b"", False, Usage(), False
+        self.tokens_read = 0       # by a reader that told how many it found kept
         self.began = self.sent_at = 0.0
         self.heard = 0.0           # when bytes last came of which events are made; a line of another kind winds up no clock
         self.event_began = 0.0     # when the first byte of an event came that is not whole; 0: there is none
@@ -131,7 +132,9 @@
                 good = self.whole and not self.rest
                 self.finish(Outcome.GENERATED if good else Outcome.CUT, "" if good else "the stream is not whole")
             case 202 if self.attempt.reads:
-                self.usage = Usage(kept=kept_of(self.rest))
+                kept = kept_of(self.rest)
+                self.usage = Usage(kept=kept or 0)
+                self.tokens_read = 0 if kept is None else max(0, self.attempt.request.prompt.tokens - kept)
                 self.finish(Outcome.READ)
             case 503 | 504 if never:
                 self.finish(Outcome.FULL)
@@ -198,9 +201,9 @@
         return None  # an event of text that happens to hold the word
 
 
-def kept_of(body: bytes) -> int:
-    """Prompt tokens that a reader found kept."""
+def kept_of(body: bytes) -> int | None:
+    """Prompt tokens that a reader found kept; None: it does not tell."""
     try:
         return int(msgspec.json.decode(body)["cached_tokens"])
     except (msgspec.DecodeError, KeyError, TypeError, ValueError):
-        return 0
+        return None
--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -31,7 +31,6 @@
 from ..core.reservation import ReleaseProgress
 from ..core.reservation_tracker import CallEnd, ReservationTracker
 from ..decisions.interface import Outcome
-from ..decisions.read_durations import ReadDurations
 from ..decisions.release_routes import Route
 from ..wire.client import ClientConnection
 from ..wire.connections import LOCAL_TROUBLE, NO_DESCRIPTOR, Connections, Keeping
@@ -71,7 +70,6 @@
         self.lag = Lag()                        # the node's takes its place
         self.traces = False                     # whether lines of level debug are wanted
         self.reservations = ReservationTracker(self, facts.let_go / 1e6, log)
-        self.read_durations = ReadDurations()
         self.let_go_s = facts.let_go / 1e6
         self.invariants = InvariantMonitor(log)  # the router's takes its place
 
@@ -169,6 +167,8 @@
         if run and run.connection and self.invariants.waited(attempt.seq_id, self._now()) > self._let_go_us:
             at -= run.connection.data_age_s  # or the loop came late to the stream's begin
         self.reservations.stream_began(attempt.seq_id, at)
+        if run:
+            self.reservations.engine_has_begun(attempt.engine, run.sent_at)
 
     def attempt_over(self, run: AttemptExchange, outcome: Outcome) -> None:
         """A schedule attempt has ended here: what it has left, or may leave yet, is followed from now on."""
@@ -179,8 +179,7 @@
         elif run.connection is not None and outcome not in WITHOUT_EFFECT and may_leave:
             told_s = run.over_by - run.sent_at if attempt.reads else 0.0
             over_by = run.over_by if attempt.reads else self.reactor.seconds()
-            ends_by = run.sent_at + self.read_durations.longest_s(attempt.request.prompt.tokens) if attempt.reads else 0.0
-            self.reservations.given_up(seq, attempt.engine, attempt.reads, told_s, over_by, run.arrived, ends_by)
+            self.reservations.given_up(seq, attempt.engine, attempt.reads, told_s, over_by, run.arrived, attempt.request.prompt.tokens)
         else:
             self.reservations.ended(seq, run.arrived, outcome is Outcome.NO_STATE)
 
@@ -188,7 +187,7 @@
         # What lay unread while the loop was late has been held since it came.
         lay_s = run.connection.data_age_s if run.connection else 0.0
         self.lag.answer_lay(lay_s)
-        self.read_durations.noted(run.attempt.request.prompt.tokens - run.usage.kept, self.reactor.seconds() - lay_s - run.sent_at)
+        self.reservations.engine_has_read(run.attempt.engine, run.sent_at, self.reactor.seconds() - lay_s, run.tokens_read)
         if self.traces:
             self.log("state held", level="debug", seq=run.attempt.seq_id, engine=run.attempt.engine,
                      reason=f"its answer lay unread for {1000 * lay_s:.0f} ms")
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -45,12 +45,13 @@
 LATE_S, LATE_EVERY_S = 0.25, 0.1  # a loop that is later than this is told
 RELOAD_AGAIN_S, RELOAD_FOR_S = 0.1, 2.0  # a file that cannot be used may be half written: so long it is read again
 DOOR_HELD_S = 1.5          # that a stopping node's listener waits for a system that refuses to accept
-FOLLOW_MOST_S = 3.7        # that a stopping node follows given-up attempts behind its last sequence; PROTOCOL: SIGKILL may come then anywhere
-RELEASE_MOST_S = 30.0      # that it stays for a release that no engine has confirmed
+FOLLOW_MOST_S = 75.0       # that a stopping node follows given-up attempts behind its last sequence, unless SIGKILL comes
+RELEASE_MOST_S = 30.0      # that it stays for a release that no engine has confirmed, where nothing else may come
 LISTEN_AGAIN_S, LISTEN_FOR_S = 0.1, 10.0  # an address may still be the last process's, and memory short for a moment
 LISTEN_ERRORS = SYSTEM | {errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EINTR}
 CROWD_BYTES = 1 << 20      # that peers held, and hold no more, before memory is given back
 RECORD_BYTES = 1_536       # of a reservation that is followed, and of what the monitor knows of its request
+LATE_BYTES = 1_024         # of an attempt that was given up before that, and of what the monitor knows of it
 LINES_PER_S = 10           # of the log, and three times as many saved up
 
 
@@ -201,7 +202,7 @@
         reservations, quiet_s = self.engines.reservations, self.reactor.seconds() - self._last_sequence_at
         if reservations.is_settled:
             return False
-        return quiet_s < FOLLOW_MOST_S or reservations.holds_states and quiet_s < RELEASE_MOST_S
+        return quiet_s < (FOLLOW_MOST_S if reservations.followed else RELEASE_MOST_S)
 
     def _leave(self, until: float) -> None:
         if self.clients.factory.connections and self.reactor.seconds() < until:
@@ -227,7 +228,7 @@
         self.memory.sample()
         self._give_back()
         self._tables.hold(self.clients.remembered_bytes + self.router.node.remembered_bytes
-                          + RECORD_BYTES * len(self.engines.reservations.records))
+                          + RECORD_BYTES * len(self.engines.reservations.records) + LATE_BYTES * len(self.engines.reservations.late))
         if self.discovery.start_times.sample():
             self.log("wall clock stepped", level="warning", reason=f"{self.discovery.start_times.steps} offsets seen so far")
         self.router.lag.loop_late(late)
@@ -257,7 +258,7 @@
             f"{counts.rejected}, aborted {counts.aborted}, left {counts.left}, turned away {self.clients.turned_away}, shed "
             f"{self.clients.shed}, connects {self.engines.counts.connects} of them failed {self.engines.counts.connect_failures}, "
             f"reused {self.engines.counts.reused}, stale {self.engines.counts.stale}, rested {self.engines.counts.rested}, releases lost {self.engines.releases_lost}, "
-            f"repeated {self.engines.reservations.repeated}, reservations {len(self.engines.reservations.records)} of them with given-up "
+            f"repeated {self.engines.reservations.repeated}, late {self.engines.reservations.late.sent}, reservations {len(self.engines.reservations.records)} of them with given-up "
             f"attempts {self.engines.reservations.followed}, dropped {self.engines.reservations.dropped}"))
         self.log("guards", level="error" if self.router.invariants.total else "info", reason=self._guards())
 
