A given-up read of a long prompt is followed for longer

Cause: 60 s cover a slow stretch of 38 s and usual prompts behind it; a prompt of 60,000 tokens at an engine that shares its pace among a dozen takes up to a minute more, and its state then waited up to 5 s for one of the seldom releases.

Change: 1 ms more for each token of a prompt, 65,536 of them at most (a body holds no more), in LateReleases and, by a constant of its own, in the monitor.

Measured: the new test (a read of 60,000 tokens that ends 100 s later) was red before, no release in time, and is green.

--- a/aniserudder/core/invariants.py
+++ b/aniserudder/core/invariants.py
@@ -16,11 +16,13 @@
 from .slow_start import SlowStartMonitor
 
 ANSWER_SLACK_US = 500_000    # after a request's time its answer may still come, worth nothing
+PROMPT_TOKENS_MOST = 65_536  # more is no prompt that a body can hold
 WITHDRAWN_MOST = 4096        # engines remembered that drain or are gone, the newest
 LEFT_SLACK_US = 100_000      # within which an attempt may begin after its client closed
 HELD_SLACK_US = 350_000      # beyond the settings' time: 300 ms of the standing page, and 50 ms of every time limit
 HELD_UNCONFIRMED_US = 3_000_000  # in which a release under way is confirmed, or given up as lost
 WORKS_ON_US = 60_000_000     # that an engine may work on behind the time it was told: slow for up to 38 s, then at its usual pace
+WORKS_ON_TOKEN_US = 1_000    # and for each token of a prompt
 DEADLINE_SLACK_US = 150_000  # by which the time told to an engine may exceed what the client has left
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.NO_STATE, Outcome.NO_ROUTE, Outcome.NOT_SENT, Outcome.EXHAUSTED, Outcome.READ})
 
@@ -246,7 +248,8 @@
             over_by: when the engine begins nothing of it any more.
         """
         self.state_may_come(request, now, now)
-        self._may_be_held[request].works_on.append(_WorksOn(place, now, tokens, over_by + WORKS_ON_US, now))
+        until = over_by + WORKS_ON_US + (round(WORKS_ON_TOKEN_US * tokens) if tokens <= PROMPT_TOKENS_MOST else 0)
+        self._may_be_held[request].works_on.append(_WorksOn(place, now, tokens, until, now))
         self._works_on.setdefault(place, {})[request] = None
 
     def engine_has_read(self, place: str, sent_at: int, ended_at: int, tokens: int) -> None:
--- a/aniserudder/core/late_releases.py
+++ b/aniserudder/core/late_releases.py
@@ -1,11 +1,11 @@
 """Releases behind attempts that were given up and may go on at their engines for long.
 
-Each such attempt is followed for ``FOLLOW_S`` behind the time that its engine was told: a release goes out each let-go time, so that whatever it
+Each such attempt is followed for ``FOLLOW_S``, longer behind a long prompt, from the time that its engine was told: a release goes out each let-go time, so that whatever it
 leaves is held no longer than a state that waits for its fetch. It ends sooner only when the engine has shown that it is past that work
 (``decisions.engine_progress``). Some more releases go out behind that, ever more seldom, so that nothing is held for good where an engine takes
 its work in another order, or takes longer still.
 
-All of it is bounded: in calls by ``RELEASES_PER_S``, in memory by ``FOLLOWED_MOST``, in time by ``FOLLOW_S`` and ``SELDOM_S``.
+All of it is bounded: in calls by ``RELEASES_PER_S``, in memory by ``FOLLOWED_MOST``, in time by ``follow_s`` and ``SELDOM_S``.
 """
 
 from __future__ import annotations
@@ -19,6 +19,8 @@
 from ..decisions.engine_progress import EngineProgress, GivenUpWork
 
 FOLLOW_S = 60.0  # an engine is slow for up to 38 s and then reads what is left at its usual pace
+FOLLOW_TOKEN_S = 0.001  # beside that, for each token of a prompt: at an engine that shares its pace among a dozen reads
+TOKENS_MOST = 65_536  # of a prompt: a body holds no more
 SELDOM_S = (5.0, 15.0, 45.0, 135.0, 405.0)  # between the releases behind that
 TURN_S = 0.05  # between turns in which releases go out
 RELEASES_PER_S = 200  # over all requests; where more are due, each goes out later
@@ -37,6 +39,11 @@
     seldom: int = 0  # releases of the seldom kind that went out
 
 
+def follow_s(work: GivenUpWork) -> float:
+    """Seconds for which an attempt is followed behind the time that its engine was told."""
+    return FOLLOW_S + (FOLLOW_TOKEN_S * work.tokens if work.tokens <= TOKENS_MOST else 0.0)
+
+
 class LateReleases:
     """Given-up attempts of one node, and when the next release of each is due.
 
@@ -93,7 +100,7 @@
         self._seldom.pop(key, None)
         if len(self) >= FOLLOWED_MOST:
             self._drop_oldest()
-        followed = self._followed[key] = _Followed(work, begin_at, over_by + FOLLOW_S)
+        followed = self._followed[key] = _Followed(work, begin_at, over_by + follow_s(work))
         self._line_up(key, followed, begin_at)
         self._plan()
 
--- a/tests/test_slow_reads.py
+++ b/tests/test_slow_reads.py
@@ -157,3 +157,10 @@
         return held, code, took_s
     held, code, took_s = on_loop(scene, FOLLOW_S + 25.0)
     assert not held and code == 0 and took_s > FOLLOW_S
+
+
+def test_a_long_prompt_is_followed_for_longer():
+    """Sixty thousand tokens at an engine that is slow for 34 s and shares its pace among twelve such reads."""
+    there = ReservationStand()
+    there.gives_up_read(told_s=TOLD_S, tokens=60_000)
+    assert held_for(there, 100.0, 20.0) < RULE_S
