The tests run in six processes

Cause: one after the other the suite takes 15 minutes, most of it waiting.

Change: make test runs pytest-xdist with six processes, a file at a time in each; TEST_PROCESSES sets another number. No test is changed.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # `make run`: a node with stand-in engines on loopback. `make test`: all tests.
 .PHONY: run test install
 PYTHON ?= python3
+TEST_PROCESSES ?= 6
 
 install: .venv/installed
 
@@ -15,4 +16,4 @@
 
 test: install
 	.venv/bin/ruff check --quiet aniserudder tests
-	.venv/bin/python -m pytest -q
+	.venv/bin/python -m pytest -q -n $(TEST_PROCESSES) --dist loadfile
