The owner of reservations is cut by job: records, releases, given-up attempts

Cause: core/reservation_tracker.py held the records, the releases, the search for a way and what goes on behind given-up attempts, 690 lines.

Change: releases.py (tries, calls, and WaySearch for those that find no way), given_up.py (repeats, and which late releases may go out), reservation_tracker.py (records, and what attempts and engines tell; 293 lines). The calls that the owner needs stand with the other ports. A node that ends before all is let go says so in its log.

No behaviour is changed but for the log line.

--- a/aniserudder/core/ports.py
+++ b/aniserudder/core/ports.py
@@ -1,14 +1,20 @@
 """The narrow ports between the library and whatever carries its effects out.
 
-``Answer`` is what the library asks of the client's side, ``Engines`` what it asks of the engines' side. Both are
-met by sockets in the daemon and by plain objects in tests. Nothing in here decides or waits.
+``Answer`` is what the library asks of the client's side, ``Engines`` what it asks of the engines' side, ``ReservationCalls`` what the owner of
+reservations asks of that. All are met by sockets in the daemon and by plain objects in tests. Nothing in here decides or waits.
 """
 from __future__ import annotations
 
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Any, Protocol
 
+from twisted.internet.interfaces import IReactorTime
+
 from ..decisions.interface import Outcome, Prompt
+from ..decisions.release_routes import Route
+from .invariants import InvariantMonitor
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,3 +111,44 @@
 
     def probe(self, engine: str, done: Any) -> None:
         """Asks for a load report; ``done(good, values)`` is called once."""
+
+
+class CallEnd(Enum):
+    """How a release call ended."""
+
+    CONFIRMED = auto()
+    UNREACHED = auto()  # not answered, or its connection failed
+    LOCAL_TROUBLE = auto()  # this system could make no connection: it tells nothing of the engine
+
+
+class ReservationCalls(Protocol):
+    """What the tracker needs of the engines' side (``platform.engines.PlatformEngines``)."""
+
+    reactor: IReactorTime
+    invariants: InvariantMonitor
+    traces: bool  # whether lines of level debug are wanted
+
+    @property
+    def listed(self) -> Collection[str]:
+        """Engines whose address is known."""
+
+    def address_of(self, engine: str) -> str:
+        """Where an engine listens; several may at one address."""
+
+    def proven(self) -> str:
+        """The engine whose kept connection was used last; empty: there is none."""
+
+    def has_kept(self, engine: str) -> bool:
+        """Whether a connection to an engine is kept that nobody uses."""
+
+    def release_at(self, route: Route, request: str, patience_s: float, done: Callable[[CallEnd], None]) -> Callable[[], None]:
+        """One call that releases what is held for a request. Returns what calls it off, so that ``done`` is not called any more."""
+
+    def fetch_has_arrived(self, request: str) -> bool:
+        """Whether the attempt that is out for a request and takes its state has surely arrived; reads what lies unread first."""
+
+    def end_sending(self, request: str) -> None:
+        """Ends the connection of the attempt that is out, so that it awaits nothing."""
+
+    def end_unproven(self, request: str) -> None:
+        """The state of a request was released as nothing shows that its fetch arrived: the attempt is over."""
--- a/aniserudder/core/reservation.py
+++ b/aniserudder/core/reservation.py
@@ -25,6 +25,11 @@
 SELDOM_BEHIND_S = 30.0
 
 
+def microseconds(seconds: float) -> int:
+    """The same time as the monitor counts it."""
+    return round(seconds * 1e6)
+
+
 class SentAttempt(Protocol):
     """An attempt whose bytes have gone out and that has not ended here."""
 
--- a/aniserudder/platform/attempt_exchange.py
+++ b/aniserudder/platform/attempt_exchange.py
@@ -1,9 +1,10 @@
-"""One schedule attempt on its connection to an engine: its answer read event by event, and what came of it.
+"""Exchanges with an engine, each on its connection: one schedule attempt, its answer read event by event, and what came of it; one small call.
 
-What each outcome means stands in ``platform/engines.py``.
+What each outcome of an attempt means stands in ``platform/engines.py``.
 """
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -13,8 +14,9 @@
 from ..core.ports import Attempt, Usage
 from ..decisions.interface import Outcome
 from ..wire.client import ClientConnection
-from .control_call import EVENT_MOST
 
+EVENT_MOST = 65_536  # bytes of one event, and of the answer of a read
+SMALL_MOST = 4_096   # bytes that are kept of the answer to a small call
 SILENCE_S = 4.5          # PROTOCOL: a client is kept waiting less than 5 s after a running engine's last event
 EVENT_S = 30.0           # that an engine may take to write one event
 BREAK, DATA, DONE = b"\n\n", b"data: ", b"data: [DONE]"
@@ -207,3 +209,41 @@
         return int(msgspec.json.decode(body)["cached_tokens"])
     except (msgspec.DecodeError, KeyError, TypeError, ValueError):
         return None
+
+
+class ControlCall:
+    """A small call's answer (``wire.client.Exchange``); status 0: it did not come off."""
+
+    __slots__ = ("done", "status", "data", "over")
+
+    def __init__(self, done: Callable[[int, bytes], None]) -> None:
+        self.done, self.status, self.data, self.over = done, 0, b"", False
+
+    def head(self, status: int) -> None:
+        self.status = status
+
+    def body(self, data: bytes) -> None:
+        self.data += data[:SMALL_MOST - len(self.data)]
+
+    def complete(self) -> None:
+        self.finish(self.status)
+
+    def lost(self, reason: str, malformed: bool) -> None:
+        self.finish(0)
+
+    def finish(self, status: int) -> None:
+        if not self.over:
+            self.over = True
+            self.done(status, self.data)
+
+
+def report_of(body: bytes) -> dict[str, float]:
+    """A load report, ``name=value`` by name; what cannot be read of it is left out."""
+    values: dict[str, float] = {}
+    for part in body.decode("latin-1").replace(";", ",").replace("\n", ",").split(","):
+        name, _, value = part.strip().partition("=")
+        try:
+            values[name.strip()] = float(value)
+        except ValueError:
+            continue
+    return values
--- a/aniserudder/platform/discovery.py
+++ b/aniserudder/platform/discovery.py
@@ -17,8 +17,7 @@
 from ..core.router import Router
 from ..core.start_times import StartTimes
 from ..decisions.interface import Availability, RosterRow
-from ..wire.client import ClientConnection
-from ..wire.connecting import connect_tcp
+from ..wire.client import ClientConnection, connect_tcp
 from ..wire.connections import Connections
 
 LIST = "/registry/instances"
--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -27,16 +27,15 @@
 from ..admission.memory import MemoryBudget
 from ..core.invariants import InvariantMonitor
 from ..core.lag import Lag
-from ..core.ports import Attempt
+from ..core.ports import Attempt, CallEnd
 from ..core.reservation import ReleaseProgress
-from ..core.reservation_tracker import CallEnd, ReservationTracker
+from ..core.reservation_tracker import ReservationTracker
 from ..decisions.interface import Outcome
 from ..decisions.release_routes import Route
 from ..wire.client import ClientConnection
 from ..wire.connections import LOCAL_TROUBLE, NO_DESCRIPTOR, Connections, Keeping
-from .attempt_exchange import WITHOUT_EFFECT, AttemptExchange
+from .attempt_exchange import WITHOUT_EFFECT, AttemptExchange, ControlCall, report_of
 from .config import Facts
-from .control_call import ControlCall, report_of
 
 RESERVATIONS, STATS = "/internal/reservations", "/stats"
 CHUNK_MOST = 262_144     # bytes of one chunk: a body holds no more
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -191,6 +191,10 @@
         if self.router.flights or self.clients.reading or self.clients.expected or self._releases_states:
             self.reactor.callLater(LOOK_S, self._wait)
             return
+        reservations = self.engines.reservations
+        if not reservations.is_settled:
+            unreleased, followed = len(reservations.releases), reservations.followed
+            self.log("ends before all is let go", level="warning", reason=f"{unreleased} releases, {followed} given-up attempts that may go on")
         self.clients.factory.stop()
         self.discovery.stop()
         self.engines.close()
--- a/aniserudder/wire/connections.py
+++ b/aniserudder/wire/connections.py
@@ -11,8 +11,7 @@
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 
-from .client import ClientConnection
-from .connecting import connect_tcp
+from .client import ClientConnection, connect_tcp
 
 
 class Collect:
--- a/tests/reservation_stand.py
+++ b/tests/reservation_stand.py
@@ -9,7 +9,8 @@
 
 from aniserudder.core.invariants import InvariantMonitor
 from aniserudder.decisions.release_routes import Route
-from aniserudder.core.reservation_tracker import CallEnd, ReservationTracker
+from aniserudder.core.ports import CallEnd
+from aniserudder.core.reservation_tracker import ReservationTracker
 
 STEP_S = 0.05
 CONNECT_S = 0.25
--- a/tests/test_given_up_attempts.py
+++ b/tests/test_given_up_attempts.py
@@ -20,7 +20,7 @@
 from aniserudder.eventloop import reactor
 from aniserudder.core import reservation_tracker
 from aniserudder.core.late_releases import FOLLOW_S, SELDOM_S
-from aniserudder.core.reservation_tracker import GOES_ON_S, SILENT_MOST_S
+from aniserudder.core.given_up import GOES_ON_S, SILENT_MOST_S
 from node_process import NodeProcess
 from platform_stand import EVENT, HEAD, READ, Site, ask, chunked
 from reservation_stand import ReservationStand
--- a/tests/test_release_search.py
+++ b/tests/test_release_search.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from aniserudder.core.reservation_tracker import CallEnd
+from aniserudder.core.ports import CallEnd
 from aniserudder.decisions.release_routes import Route
 from reservation_stand import CONNECT_S, ReservationStand, Sent
 
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -9,7 +9,7 @@
 
 from aniserudder.core.late_releases import FOLLOW_S, TURN_S
 from aniserudder.core.reservation import URGENT_TRIES
-from aniserudder.core.reservation_tracker import CallEnd
+from aniserudder.core.ports import CallEnd
 from aniserudder.decisions.release_routes import ReleaseRoutes, Route
 from reservation_stand import CONNECT_S, ReservationStand, Sent
 
