--- a/aniserudder/decisions/engine_progress.py
+++ b/aniserudder/decisions/engine_progress.py
@@ -1,9 +1,10 @@
 """Whether an engine has shown that it is past what was given up there.
 
-Nobody says when such work ends: an engine that has not heard that it was given up, or does not heed it, reads on and then holds a state. How
-long that takes is not worked out from any pace. An engine begins its work in the order in which it comes and shares its capacity among what it
-runs. So it is past a given-up read once others that were sent there later have read as many tokens, one behind the other, and past a given-up
-fetch once a stream that was sent there later has begun.
+Nobody says when such work ends: an engine that has not heard that it was given up, or does not heed it, reads
+on and then holds a state. How long that takes is not worked out from any pace. An engine begins its work in the
+order in which it comes and shares its capacity among what it runs. So it is past a given-up read once others
+that were sent there later have read as many tokens, one behind the other, and past a given-up fetch once a
+stream that was sent there later has begun.
 """
 
 from __future__ import annotations
--- a/tests/test_slow_reads.py
+++ b/tests/test_slow_reads.py
@@ -1,8 +1,9 @@
 """What an engine goes on with is released in time however slowly it works.
 
-Found by the review: a reader that was 9.9 times slower for 20 s went on with ten reads that their nodes had given up. How long such a read is
+A reader that was 9.9 times slower for 20 s went on with ten reads that their nodes had given up. How long such a read is
 followed was worked out from the pace of usual reads, and they took longer: six or seven states lay at the reader for good.
 """
+
 import math
 import signal
 
@@ -63,12 +64,16 @@
     return there.longest_gap(15.0, 20.0) < 0.5
 
 
-@pytest.mark.parametrize("steps", [
-    [],
-    [("r2", 1.0, 2.0, 5000)],  # another engine
-    [("r1", 1.0, 2.0, 999)],
-    [("r1", -0.5, 2.0, 5000)],  # sent before
-    [("r1", 1.0, 3.0, 600), ("r1", 1.5, 2.5, 600)]])  # beside one another
+@pytest.mark.parametrize(
+    "steps",
+    [
+        [],
+        [("r2", 1.0, 2.0, 5000)],  # another engine
+        [("r1", 1.0, 2.0, 999)],
+        [("r1", -0.5, 2.0, 5000)],  # sent before
+        [("r1", 1.0, 3.0, 600), ("r1", 1.5, 2.5, 600)],
+    ],
+)  # beside one another
 def test_an_engine_that_may_not_be_past_a_read_is_followed(steps):
     assert followed_to(ReservationStand("r1", "r2", "w1"), *steps)
 
@@ -140,6 +145,7 @@
 
 def test_a_node_that_is_told_to_end_stays_for_a_slow_read_and_then_ends(tmp_path):
     """It ended 3.7 s behind SIGTERM, and what the read left 8 s later lay for good."""
+
     async def scene():
         engines = Engines()
         engines.hears_late, engines.read_ends = math.inf, dict.fromkeys(("r1", "r2"), 8.0)
@@ -155,6 +161,7 @@
         code = node.process.returncode
         await node.close()
         return held, code, took_s
+
     held, code, took_s = on_loop(scene, FOLLOW_S + 25.0)
     assert not held and code == 0 and took_s > FOLLOW_S
 
