Soak: fetches that no engine took, engines that stand still behind them, lost releases

Writers of the soak failed only once they had taken a state, so none was ever held behind a fetch that failed; and the oracle took the proxy's acknowledgement for an attempt that is out, as the node does. Profile 'fetches' closes fetches as they come, or begins their answers, and then stops all writers or all but one. The oracle counts an attempt as out from when its engine has read it; one that lies acknowledged in the proxy only where its link fell silent while new connections are well (its test is stricter by two cases, and has one more beside it).

--- a/aniserudder/cli/main.py
+++ b/aniserudder/cli/main.py
@@ -157,7 +157,7 @@
     "--profile",
     default="mixed",
     show_default=True,
-    type=click.Choice(["mixed", "partitions", "restarts", "crowds", "slow", "lists", "roles"]),
+    type=click.Choice(["mixed", "partitions", "restarts", "crowds", "slow", "lists", "roles", "fetches"]),
     help="What faults there are most of.",
 )
 def soak(first: int, count: int, seconds: float, keep: str, copies: int | None, clients: int | None, profile: str) -> None:
--- a/aniserudder/soak/driver.py
+++ b/aniserudder/soak/driver.py
@@ -19,6 +19,7 @@
 from . import events, plan, scenario
 from .abusive_clients import Form
 from .control import Slot
+from .engine import LostRelease, Untaken
 from .events import LINK_CUT, Event, Kind
 from .oracle import Breach, HeldTally, Oracle, Rule, Terms
 from .plan import Planned
@@ -29,6 +30,7 @@
 ENGINES = ["r0", "r1", "r2", "w0", "w1", "w2", "m0"]
 MIXED_ENGINE = "m0"
 NODES = 4
+BUSY_MOST = 3             # engines that something befalls at a time
 LOOK_S = 0.02             # between looks at the processes
 EXPLAINED_MOST = 5        # breaches whose requests' log lines are told
 FRONT_NOTICES_S = 0.4     # PROTOCOL: so long after SIGTERM new connections keep coming
@@ -40,6 +42,8 @@
 PARTITION_S = (1.0, 6.0)  # that a node reaches one engine alone
 ISOLATION_S = (0.5, 4.5)  # that it reaches none
 HANG_S = (1.0, 4.0)       # that two engines of a role hang together
+UNTAKEN_S = (0.02, 0.4)   # that writers take no fetch, until they stand still
+WRITERS_HANG_S = (0.5, 2.5)  # that they stand still then
 AWAY_S = (1.8, 8.0)       # from a node's kill to its new process
 LIST_TAKES_S = (0.3, 5.5)  # of a slow agent for each answer
 OLD_ROLE_ENDS_S = (0.05, 0.45)  # behind the change of the list; GROWTH: 0.5 s
@@ -332,8 +336,10 @@
         """Two engines of a role stop at the same moment."""
         alike = [name for name in ENGINES if name[0] == engine[0]]
         first = alike.index(engine)
-        taken = [name for name in (engine, alike[(first + 1) % len(alike)]) if self._take_engine(name)]
-        lasts = _between(HANG_S, planned.draw)
+        self._hang([engine, alike[(first + 1) % len(alike)]], _between(HANG_S, planned.draw))
+
+    def _hang(self, names: list[str], lasts: float, at_once: int = BUSY_MOST) -> None:
+        taken = [name for name in names if self._take_engine(name, at_once)]
         for name in taken:
             self.stage.pause(name, lasts)
 
@@ -370,9 +376,33 @@
         self.stage.log.note(Kind.FAULT, node=node, text=f"abusive clients: {form.value}")
         self.stage.abuse(node, form, planned.lasts, self.seed * 1000 + self._count)
 
-    def _take_engine(self, engine: str) -> bool:
+    def _fetches_fail(self, planned: Planned, node: str, engine: str) -> None:
+        """For a moment writers end each fetch that comes, and never take it; then all or all but one stand still."""
+        how = list(Untaken)[int(planned.draw * len(Untaken))]
+        self.stage.log.note(Kind.FAULT, text=f"fetches end: {how.value}")
+        writers = [name for name in ENGINES if name[0] != "r"]
+        self._tell(writers, untaken=how.value)
+        left = writers[1:] if planned.draw * 13 % 1 < 0.5 else writers
+
+        def stand_still() -> None:
+            self._tell(writers, untaken="")
+            self._hang(left, _between(WRITERS_HANG_S, planned.draw * 31 % 1), len(writers))
+        self._after(_between(UNTAKEN_S, planned.draw * 7 % 1), stand_still)
+
+    def _releases_fail(self, planned: Planned, node: str, engine: str) -> None:
+        """All engines but one read calls that release late, or do not answer them."""
+        how = list(LostRelease)[int(planned.draw * len(LostRelease))]
+        others = [name for name in ENGINES if name != engine]
+        self._tell(others, lost_release=how.value)
+        self._after(planned.lasts, lambda: self._tell(others, lost_release=""))
+
+    def _tell(self, engines: list[str], **command: object) -> None:
+        for name in engines:
+            self.stage.helpers[name].tell(**command)
+
+    def _take_engine(self, engine: str, at_once: int = BUSY_MOST) -> bool:
         """One thing at a time befalls an engine's process; what befalls its links may come beside it."""
-        if engine in self._busy_engines or len(self._busy_engines) >= 3:
+        if engine in self._busy_engines or len(self._busy_engines) >= at_once:
             return False
         self._busy_engines.add(engine)
         return True
--- a/aniserudder/soak/engine.py
+++ b/aniserudder/soak/engine.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -45,6 +46,25 @@
     """Where attempts that wait for a state have their files: request, engine, number of the attempt."""
     return states / "wanted"
 
+class Untaken(str, Enum):
+    """How an engine ends a fetch that it never took."""
+
+    CLOSED = "closed"
+    HALF_HEAD = "half a head"        # and the connection stays open
+    HEAD = "a head"                  # the same
+    KEEPS_COMING = "keeps coming"    # a size line that never ends
+
+
+class LostRelease(str, Enum):
+    """What becomes of calls that release."""
+
+    LATE = "late"              # read a while after they came
+    UNANSWERED = "unanswered"  # carried out, and the connection closed
+
+
+HALF_HEAD = HEAD[:40]
+RELEASE_LATE_S = 0.2
+
 # Streams that are spoilt by something that keeps coming: how it begins, and what follows upon it again and again.
 SPOILT = ((b"b2d05e00\r\n", EVENT), (b"0", b"0"), (b"1;", b"x"), (chunk(EVENT)[:-2], b"\n"), (b"0\r\n", b"x: y\r\n"))
 
@@ -71,19 +91,26 @@
         self.states, self.log, self.chance = Path(specification["states"]), log, chance
         self.habits = EngineHabits(**specification["habits"])
         self.draining, self.failing, self.spoiling, self.slower, self.attempts = False, 0.0, 0.0, 1.0, 0
+        self.untaken: Untaken | None = None  # how fetches end that come now
+        self.lost_release: LostRelease | None = None
         self.work: dict[RequestReader, Work] = {}
         listen(specification["port"], lambda: RequestReader(self._asked, self._closed))
         log.note(Kind.ENGINE_UP, engine=self.name)
         self._becomes(specification["role"])
 
     def obey(self, command: dict[str, Any]) -> None:
-        """``{"draining": true}``, ``{"failing": 0.3}``, ``{"spoiling": 0.3}``, ``{"slower": 9.9}``, ``{"role": "read"}``."""
+        """``{"draining": true}``, ``{"failing": 0.3}``, ``{"spoiling": 0.3}``, ``{"slower": 9.9}``, ``{"role": "read"}``,
+        ``{"untaken": "closed"}``, ``{"lost_release": "late"}`` (empty: none)."""
         if "role" in command:
             self._becomes(command["role"])
         self.draining = command.get("draining", self.draining)
         self.failing = command.get("failing", self.failing)
         self.spoiling = command.get("spoiling", self.spoiling)
         self.slower = command.get("slower", self.slower)
+        if "untaken" in command:
+            self.untaken = Untaken(command["untaken"]) if command["untaken"] else None
+        if "lost_release" in command:
+            self.lost_release = LostRelease(command["lost_release"]) if command["lost_release"] else None
 
     def _becomes(self, role: str) -> None:
         """Holds for what comes from now on."""
@@ -92,8 +119,7 @@
 
     def _asked(self, connection: RequestReader, request: HttpRequest) -> None:
         if request.method == "DELETE":
-            self._release(request.target.rpartition("/")[2])
-            return connection.say(RELEASED)
+            return self._asked_to_release(connection, request.target.rpartition("/")[2])
         if request.method != "POST" or "request-id" not in request.headers or request.target.startswith("/internal"):
             return connection.say(NOT_FOUND)
         id = request.headers["request-id"]
@@ -105,10 +131,40 @@
         elif self.reads_only:
             work.read_s = self._read_s()
             self._read_on(work, work.read_s)
+        elif self.untaken:
+            self._end_untaken(work, self.untaken)
         else:
             self._wants(work).touch()
             self._later(work, self.slower * self.chance.uniform(*WAIT_S), self._write)
 
+    def _asked_to_release(self, connection: RequestReader, request: str) -> None:
+        match self.lost_release:
+            case LostRelease.LATE:
+                reactor.callLater(RELEASE_LATE_S, self._released, connection, request)
+            case LostRelease.UNANSWERED:
+                self._release(request)
+                connection.transport.abortConnection()
+            case _:
+                self._released(connection, request)
+
+    def _released(self, connection: RequestReader, request: str) -> None:
+        self._release(request)
+        connection.say(RELEASED)
+
+    def _end_untaken(self, work: Work, how: Untaken) -> None:
+        """The state that it would have fetched stays where it is."""
+        match how:
+            case Untaken.CLOSED:
+                self._end(work, End.FAILED, b"")
+                work.connection.transport.abortConnection()
+            case Untaken.HALF_HEAD:
+                self._end(work, End.FAILED, HALF_HEAD)
+            case Untaken.HEAD:
+                self._end(work, End.FAILED, HEAD)
+            case Untaken.KEEPS_COMING:
+                self._end(work, End.FAILED, HEAD + b"4f;")
+                self._keeps_coming(work.connection, b"x")
+
     def _later(self, work: Work, seconds: float, step: Any, *more: Any) -> None:
         reactor.callLater(seconds, self._step, work, step, more)
 
--- a/aniserudder/soak/oracle.py
+++ b/aniserudder/soak/oracle.py
@@ -109,6 +109,7 @@
     engine: str
     begin: float
     end: float
+    is_cut: bool = False  # nothing gets through, and nothing new comes up
 
     def touches(self, node: str, engine: str) -> bool:
         """Whether it befalls a link; without an engine: any link of the node."""
@@ -224,7 +225,7 @@
             case Kind.LINK_DOWN:
                 if event.text == LINK_CUT:
                     self.cut[event.node].add(event.engine, event.at, event.value)
-                self.link_faults.append(_LinkFault(event.node, event.engine or "*", event.at, event.value))
+                self.link_faults.append(_LinkFault(event.node, event.engine or "*", event.at, event.value, event.text == LINK_CUT))
             case Kind.NODE_KILLED:
                 self.killed[event.node].append(event.at)
             case Kind.NODE_GONE:
@@ -436,8 +437,8 @@
         return max(at, latest, *moved)
 
     def _held(self, id: str, request: _Request) -> None:
-        """What is held, for how long nothing was out for it. The clock stops while an attempt is out that has arrived at a running
-        engine, and begins anew when it ends; it runs on behind a cut link, as any engine takes a release, and stands still only while its node
+        """What is held, for how long nothing was out for it. The clock stops while an attempt is out that a running engine has read, and
+        begins anew when it ends; bytes in the machine of an engine that stands still are no attempt that is out. It runs on behind a cut link, as any engine takes a release, and stands still only while its node
         reaches no engine that runs."""
         for begin, engine, end in request.held:
             stop = min(end, self.events[-1].at, self._killed_after(request.node, request.sent_at))
@@ -445,8 +446,8 @@
                 self.held.excused += 1  # its node was killed before: nobody is left who owes the release
                 continue
             self.held.judged += 1
-            spans = [(a.arrived_at, self._known_over_at(request, a)) for a in request.attempts]
-            spans += [(at, self._given_up_at(request, at)) for at, _ in request.taken]
+            spans = [(a.at, self._known_over_at(request, a)) for a in request.attempts]
+            spans += [(at, self._given_up_at(request, at)) for at, engine_to in request.taken if self._falls_silent(request.node, engine_to, at)]
             waited = max(self._owed_s(request.node, b, e) for b, e in _gaps(spans, begin, stop))
             if waited > self.terms.let_go + HELD_SLACK_S + RULE_SLACK_S + SCHEDULING_S:
                 self._break(Rule.HELD, begin, id, f"held at {engine} for {waited:.3f} s with nothing out")
@@ -477,6 +478,12 @@
             return attempt.over_at
         return max(attempt.over_at, min(attempt.arrived_at + attempt.told, self._given_up_at(request, attempt.arrived_at)))
 
+    def _falls_silent(self, node: str, engine: str, at: float) -> bool:
+        """Whether a link falls silent around that time while new connections to its engine are well: then the proxy has acknowledged bytes that
+        no engine gets, which no machine of an engine does, and the engine answers whatever else it is asked."""
+        return any(fault.touches(node, engine) and not fault.is_cut and fault.begin <= at + CONNECTS_AGAIN_S and fault.end >= at
+                   for fault in self.link_faults)
+
     @staticmethod
     def _given_up_at(request: _Request, sent_at: float) -> float:
         """When an attempt that got no answer was over for its node at the latest. One that was lost behind the proxy on a fresh connection
--- a/aniserudder/soak/plan.py
+++ b/aniserudder/soak/plan.py
@@ -41,6 +41,8 @@
     DISCOVERY_LONG_DOWN = auto()
     NODE_AWAY = auto()
     ENGINE_TURNS = auto()
+    FETCHES_FAIL = auto()
+    RELEASES_FAIL = auto()
 
 
 class Profile(Enum):
@@ -51,6 +53,7 @@
     SLOW = "slow"              # engines that work several times slower for long, and go on with what was given up
     LISTS = "lists"            # nodes that are away while engines drain, and come back to a slow or silent discovery
     ROLES = "roles"            # an engine that serves both roles is listed as a reader while attempts are out there
+    FETCHES = "fetches"        # writers end fetches that they never took, and stand still; releases are answered late or not at all
     CROWDS = "crowds"          # the least memory, hundreds of abusive clients, spoilt streams that keep coming
 
 
@@ -111,9 +114,17 @@
     **WEIGHTS,
     Fault.ENGINE_TURNS: 30,
 }
+FETCH_WEIGHTS = {
+    **WEIGHTS,
+    Fault.FETCHES_FAIL: 40,
+    Fault.RELEASES_FAIL: 12,
+    Fault.ROLE_HANG: 10,
+    Fault.NODE_TERM: 12,
+    Fault.NODE_SIGNALS: 8,
+}
 PROFILE_WEIGHTS = {Profile.MIXED: WEIGHTS, Profile.PARTITIONS: PARTITION_WEIGHTS, Profile.RESTARTS: RESTART_WEIGHTS, Profile.CROWDS: CROWD_WEIGHTS,
                    Profile.SLOW: SLOW_WEIGHTS, Profile.LISTS: LIST_WEIGHTS,
-                   Profile.ROLES: ROLE_WEIGHTS}
+                   Profile.ROLES: ROLE_WEIGHTS, Profile.FETCHES: FETCH_WEIGHTS}
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -185,15 +185,28 @@
 
 
 def test_a_fetch_that_the_proxy_acknowledged_and_lost_is_out_until_its_node_gives_it_up():
-    """Found by the soak, seed 6103: a slow link fell silent over a request that a fresh connection had brought to the proxy."""
-    def story(taken, answered_after, forwarded=False):
+    """Found by the soak, seed 6103: a slow link fell silent over a request that a fresh connection had brought to the proxy. Where no link fell
+    silent, or nothing new comes up either, an acknowledgement stops no clock."""
+    def story(taken, answered_after, forwarded=False, link=""):
         story = Story().attempt(0.1, 0.2, End.READ, "r1").at(0.2, Kind.STATE_HELD, engine="r1").at(1.8, Kind.STATE_GONE)
         if taken:
             story.at(0.21, Kind.TAKEN, engine="w1")
         if forwarded:
             story.at(0.3, Kind.FORWARDED, engine="w1")
+        if link is not None:
+            story.at(0.25, Kind.LINK_DOWN, engine="w1", request="", value=BEGAN + 1.5, text=link)
         return story.answered(answered_after, "502").broken()
     assert story(True, 1.7) == [] and story(False, 1.7) == story(True, 0.9) == story(True, 1.7, forwarded=True) == [Rule.HELD]
+    assert story(True, 1.7, link=None) == story(True, 1.7, link=LINK_CUT) == [Rule.HELD]
+
+
+def test_a_fetch_in_the_machine_of_an_engine_that_stands_still_is_not_out():
+    """Guards against a judge that counts an acknowledgement as the node did: the engine read the fetch 1.1 s after its machine had it."""
+    def story(read_after):
+        story = Story().attempt(0.1, 0.2, End.READ, "r1").at(0.2, Kind.STATE_HELD, engine="r1").at(0.21, Kind.FORWARDED, engine="w1")
+        story.at(read_after, Kind.ATTEMPT, engine="w1", value=1.5).at(read_after + 0.1, Kind.STATE_GONE, engine="w1")
+        return story.at(read_after + 0.3, Kind.ATTEMPT_OVER, engine="w1", text=End.SERVED.value).answered(read_after + 0.4).broken()
+    assert story(0.4) == [] and story(1.3) == [Rule.HELD]
 
 
 def test_a_state_whose_fetches_are_turned_away_one_after_the_other_is_held_anew_behind_each():
