A node in service logs each request that meets trouble whole, from its beginning

Attempts sent, states held and released, and how release calls failed were lines of level debug, and what is a warning ('attempt ended') shares 10 lines a second with all else. Lines that name a request are kept now until it ends; a warning on it has them written with the times at which they came, and all later ones.

--- a/aniserudder/core/given_up.py
+++ b/aniserudder/core/given_up.py
@@ -97,9 +97,8 @@
         record.given_up.until = max(record.given_up.until, until)
         record.given_up.engines[engine] = self._now
         self._silent.gave_up(engine, record.request, self._now)
-        if self._calls.traces:
-            reason = f"it may leave something for {until - self._now:.1f} s"
-            self._log("attempt followed", level="debug", seq=record.request, engine=engine, reason=reason)
+        reason = f"it may leave something for {until - self._now:.1f} s"
+        self._log("attempt followed", level="debug", seq=record.request, engine=engine, reason=reason)
 
     def stop(self, record: Reservation) -> None:
         """Releases of a request are not repeated any more; late ones may go out."""
--- a/aniserudder/core/ports.py
+++ b/aniserudder/core/ports.py
@@ -126,7 +126,6 @@
 
     reactor: IReactorTime
     invariants: InvariantMonitor
-    traces: bool  # whether lines of level debug are wanted
 
     @property
     def listed(self) -> Collection[str]:
--- a/aniserudder/core/releases.py
+++ b/aniserudder/core/releases.py
@@ -283,7 +283,7 @@
 
     def note_end(self, request: str, route: Route, end: CallEnd, asked_at: float) -> None:
         """A call has ended: what it shows of its engine is remembered."""
-        if self._calls.traces and end is not CallEnd.CONFIRMED:
+        if end is not CallEnd.CONFIRMED:
             how = "new" if route.fresh else "kept"
             reason = f"{end.name.lower()} after {1000 * (self._now - asked_at):.0f} ms over a {how} connection"
             self._log("release call failed", level="debug", seq=request, engine=route.engine, reason=reason)
@@ -316,8 +316,7 @@
 
     def _confirmed(self, record: Reservation, engine: str, asked_at: float, number: int) -> None:
         self._calls.invariants.released(record.request, microseconds(asked_at), self._let_go_us)
-        if self._calls.traces:
-            self._log("state released", level="debug", seq=record.request, engine=engine, reason=f"try {number}")
+        self._log("state released", level="debug", seq=record.request, engine=engine, reason=f"try {number}")
         self.drop(record)
         self._owner.confirmed(record, asked_at)
 
--- a/aniserudder/core/router.py
+++ b/aniserudder/core/router.py
@@ -207,6 +207,7 @@
                 flight.journal = journal if journal is not None else Journal(id)
                 self.recovery.arrived(now, request.prompt.tokens, self.slos.get(request.prompt.traffic_type, NO_SLO)[2])
             self.counts.taken += 1
+            self.log("request taken", level="debug", seq=id, reason=f"{request.prompt.time_left // 1000} ms are left")
             effect, window = self.effects.get(request.prompt.traffic_type, (Effect.ONCE_ONLY, 0))
             self.invariants.taken(id, flight.abandon_at, effect, window)
             flight.timer = self._later(request.prompt.time_left, lambda: self._time_up(flight))
@@ -221,6 +222,7 @@
                 flight.answered = True
                 self.counts.left += 1
                 self.invariants.left(id, closed_at)
+                self.log("client left", level="debug", seq=id, state=flight.state.value, engine=flight.out.engine if flight.out else "")
                 if self.streams:
                     self.recovery.left(flight)
                 self._call(LeftCall(self.now(), id), flight)
@@ -572,6 +574,7 @@
             case State.GENERATED:
                 self._finish(flight, lambda a: a.generated(flight.stop_reason, flight.usage))
             case State.REJECTED:
+                self.log("request refused", level="warning", seq=flight.id, reason=flight.why or "no engine can take it")
                 if not flight.journal or not flight.journal.pieces:
                     self._fared(flight, 1 << 40)
                 self._finish(flight, lambda a: a.rejected(change.come_back, flight.why or "no engine can take it"))
--- a/aniserudder/logs.py
+++ b/aniserudder/logs.py
@@ -30,9 +30,11 @@
     handler = logging.StreamHandler(out or sys.stderr)
     handler.setFormatter(JsonLine())
 
-    def log(event: str, level: str = "info", **fields: object) -> None:
+    def log(event: str, level: str = "info", at: float = 0.0, **fields: object) -> None:
+        """``at``: when it came, as Unix time in seconds; 0: now."""
         number = levels[level.upper()]
         if number >= least:
-            handler.handle(logging.makeLogRecord({"name": node, "levelno": number, "levelname": level, "msg": event,
-                                                  "fields": fields}))
+            record = logging.makeLogRecord({"name": node, "levelno": number, "levelname": level, "msg": event, "fields": fields})
+            record.created = at or record.created
+            handler.handle(record)
     return log
--- a/aniserudder/platform/clients.py
+++ b/aniserudder/platform/clients.py
@@ -235,6 +235,7 @@
                 raise NoRequest(409, "this Request-Id has come before")
         except NoRequest as wrong:
             self.turned_away += 1
+            self.log("request turned away", level="info", seq=exchange.headers.get("request-id", "")[:ID_MOST], reason=str(wrong))
             return self.fail(exchange, wrong.status, str(wrong))
         exchange.body = bytearray()  # the request holds it
         connection = exchange.connection
@@ -295,6 +296,7 @@
         self._forget_early(id)
         self.turned_away += 1
         self.over(id)
+        self.log("request refused", level="warning", seq=id, reason=reason)
         self.fail(exchange, 503, reason)
 
     def _forget_early(self, id: str) -> bool:
@@ -359,7 +361,7 @@
         if owed and reason in OWN_WILL:
             self.router.invariants.closed_unanswered(reason.value, owed)
         if owed:
-            self.log("connection closed", level="info", reason=f"{reason.value}; {owed} requests unanswered")
+            self.log("connection closed", level="warning", reason=f"{reason.value}; {owed} requests unanswered")
 
     def _note(self) -> None:
         self._calm(self.descriptors.note("clients", len(self.factory.connections)))
--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -67,7 +67,6 @@
         self.log, self.budget = log, budget or MemoryBudget()
         self.runs: dict[str, AttemptExchange] = {}         # by sequence: one schedule attempt at a time
         self.lag = Lag()                        # the node's takes its place
-        self.traces = False                     # whether lines of level debug are wanted
         self.reservations = ReservationTracker(self, facts.let_go / 1e6, log)
         self.let_go_s = facts.let_go / 1e6
         self.invariants = InvariantMonitor(log)  # the router's takes its place
@@ -86,10 +85,9 @@
                 return run.finish(Outcome.NOT_SENT, "it may not go out any more")
             run.connection, run.sent_at = connection, self.reactor.seconds()
             run.over_by = run.sent_at + left / 1e6
-            if self.traces:
-                how = f"kept idle for {1000 * connection.rested:.0f} ms" if connection.rested >= 0 else "fresh"
-                self.log("attempt sent", level="debug", seq=attempt.seq_id, engine=attempt.engine, ordinal=attempt.ordinal,
-                         reason=f"told {left // 1000} ms; the connection is {how}")
+            how = f"kept idle for {1000 * connection.rested:.0f} ms" if connection.rested >= 0 else "fresh"
+            self.log("attempt sent", level="debug", seq=attempt.seq_id, engine=attempt.engine, ordinal=attempt.ordinal,
+                     reason=f"told {left // 1000} ms; the connection is {how}")
             headers = [("request-id", attempt.seq_id), ("request-timeout", f"{left / 1e6:.3f}"), *request.headers]
             if not connection.ask("POST", request.target, headers, request.body, run):
                 return run.finish(Outcome.NO_ROUTE, "the connection went before the request")
@@ -189,9 +187,8 @@
         lay_s = run.connection.data_age_s if run.connection else 0.0
         self.lag.answer_lay(lay_s)
         self.reservations.engine_has_read(run.attempt.engine, run.sent_at, self.reactor.seconds() - lay_s, run.tokens_read)
-        if self.traces:
-            self.log("state held", level="debug", seq=run.attempt.seq_id, engine=run.attempt.engine,
-                     reason=f"its answer lay unread for {1000 * lay_s:.0f} ms")
+        self.log("state held", level="debug", seq=run.attempt.seq_id, engine=run.attempt.engine, ordinal=run.attempt.ordinal,
+                 reason=f"its answer lay unread for {1000 * lay_s:.0f} ms")
         self.reservations.read_ended(run.attempt.seq_id, run.attempt.engine, lay_s)
 
     # What the reservations ask for.
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -33,6 +33,7 @@
 from .engines import PlatformEngines
 from .list_codec import EMPTY
 from .process_memory import MemoryGauge, return_freed_memory, trim
+from .request_log import LEVELS, RequestLog
 from .signals import Signals
 
 LEVEL = "NODE_LOG_LEVEL"   # variable: debug, info, warning or error
@@ -53,7 +54,6 @@
 CROWD_BYTES = 1 << 20      # that peers held, and hold no more, before memory is given back
 RECORD_BYTES = 1_536       # of a reservation that is followed, and of what the monitor knows of its request
 LATE_BYTES = 1_024         # of an attempt that was given up before that, and of what the monitor knows of it
-LINES_PER_S = 10           # of the log, and three times as many saved up
 
 
 class PlatformNode:
@@ -274,24 +274,6 @@
         return ", ".join(parts)
 
 
-def bounded(log: Callable[..., None], seconds: Callable[[], float]) -> Callable[..., None]:
-    """A log that writes so many lines a second at the most; what was left out is counted in the next line."""
-    saved, at, left_out = 3.0 * LINES_PER_S, seconds(), 0
-
-    def write(event: str, level: str = "info", **fields: object) -> None:
-        nonlocal saved, at, left_out
-        now = seconds()
-        saved, at = min(3.0 * LINES_PER_S, saved + LINES_PER_S * max(0.0, now - at)), now
-        if saved < 1 and level != "error":
-            left_out += 1
-            return
-        saved -= 1
-        if left_out:
-            fields["left_out"], left_out = left_out, 0
-        log(event, level=level, **fields)
-    return write
-
-
 def read_at_start(path: Path) -> config.Config:
     """The configuration; one that may be half written is read again for as long as at a reload.
 
@@ -324,21 +306,14 @@
         print(wrong, file=sys.stderr)
         return 2
     level = os.environ.get(LEVEL, "warning").lower()
-    order = ("debug", "info", "warning", "error")
-    if level not in order:
-        print(f"{LEVEL}: {level!r} is none of {', '.join(order)}", file=sys.stderr)
+    if level not in LEVELS:
+        print(f"{LEVEL}: {level!r} is none of {', '.join(LEVELS)}", file=sys.stderr)
         return 2
-    written = logs.make(conf.name, level)
+    log = logs.make(conf.name, "debug")
     if level != "debug":
-        written = bounded(written, reactor.seconds)
-
-    def log(event: str, level: str = "info", **fields: object) -> None:
-        if order.index(level) >= least:
-            written(event, level=level, **fields)
-    least = order.index(level)
+        log = RequestLog(log, level, reactor.seconds)
     node = PlatformNode(conf, reactor, log)
     del conf  # its list is large
-    node.engines.traces = level == "debug"
 
     def told(number: int) -> None:
         reactor.callFromThread(node.reload, path) if number == signal.SIGHUP else reactor.callFromThread(node.stop)
--- a/tests/reservation_stand.py
+++ b/tests/reservation_stand.py
@@ -37,8 +37,6 @@
 class ReservationStand:
     """Engines ``r1``, which may stand still, and ``w1``, which is well; a connection that fails does so in its time."""
 
-    traces = False
-
     def __init__(self, *engines: str) -> None:
         self.reactor, self.listed = Clock(), dict.fromkeys(engines or ("r1", "w1"))
         self.calls: list[Call] = []
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,7 +13,8 @@
 
 from aniserudder import logs
 from aniserudder.platform import attempt_exchange, config, engines, list_codec, list_stream
-from aniserudder.platform.node import PlatformNode, bounded
+from aniserudder.platform.node import PlatformNode
+from aniserudder.platform.request_log import RequestLog
 from aniserudder.wire.connections import IdleAges
 from platform_stand import EVENT, FULL, HEAD, READ, SETTINGS, STREAM, WHOLE, Site, ask, body_of, chunked
 from stand import on_loop, sleep, until
@@ -495,7 +496,7 @@
 
 def test_the_log_is_bounded():
     lines, now = [], [0.0]
-    log = bounded(lambda event, **fields: lines.append(fields), lambda: now[0])
+    log = RequestLog(lambda event, **fields: lines.append(fields), "warning", lambda: now[0])
     for _ in range(1000):
         log("flood", level="warning")
     now[0] = 10.0
@@ -503,6 +504,31 @@
     assert len(lines) == 31 and lines[-1]["left_out"] == 970
 
 
+def test_a_request_that_meets_trouble_is_logged_from_its_beginning_and_the_others_not_at_all():
+    """Seen in staging: the report of a state that was held too long came with empty logs."""
+    lines, now = [], [0.0]
+    log = RequestLog(lambda event, **fields: lines.append((event, fields.get("seq"), fields["at"])), "warning", lambda: 0.0, lambda: now[0])
+    for request in ("a", "b"):
+        log("attempt", level="debug", seq=request)
+        now[0] += 1.0
+    log("sequence ended", level="info", seq="b")
+    log("attempt ended", level="warning", seq="a")
+    log("state released", level="debug", seq="a")
+    log("attempt ended", level="warning", seq="b")
+    assert lines == [("attempt", "a", 0.0), ("attempt ended", "a", 2.0), ("state released", "a", 2.0), ("attempt ended", "b", 2.0)]
+
+
+def test_lines_of_requests_that_are_kept_are_bounded():
+    lines = []
+    log = RequestLog(lambda event, **fields: lines.append(event), "warning", lambda: 0.0, lambda: 0.0)
+    for number in range(5000):
+        for step in range(40):
+            log(f"step {step}", level="debug", seq=str(number))
+    log("trouble", level="warning", seq="0")
+    log("trouble", level="warning", seq="4999")
+    assert len(log._kept) <= 256 and lines[:2] == ["trouble", "step 0"] and len(lines) == 2 + 24
+
+
 def test_the_configuration_is_decoded_as_the_simulators_settings_are():
     from aniserudder import simhost
     conf = config.decode({"name": "n", "listen": "h:1", "discovery": "h:2", "seed": "ff", "settings": SETTINGS})
