What a given-up read leaves is released beside an answer that was begun and stalls

A read was given up and went on; the next attempt, a writer that reads itself, got half a head and no more, and counted as arrived to its end, so no release went out beside it. An answer that comes to no event within the settings' time shows nothing any more.

--- a/aniserudder/platform/attempt_exchange.py
+++ b/aniserudder/platform/attempt_exchange.py
@@ -46,7 +46,7 @@
     """One schedule attempt on its connection (``wire.client.Exchange``)."""
 
     __slots__ = ("engines", "attempt", "connection", "status", "rest", "whole", "usage", "over", "heard", "watch",
-                 "tokens_read", "began", "event_began", "looked_again", "passed", "sent_at", "over_by", "fetches_state", "memory", "_had_arrived", "_engine_runs", "answer_has_begun")
+                 "tokens_read", "began", "event_began", "looked_again", "passed", "sent_at", "over_by", "fetches_state", "memory", "_had_arrived", "_engine_runs", "answer_has_begun", "answer_stalls")
 
     def __init__(self, engines: ExchangeOwner, attempt: Attempt) -> None:
         self.engines, self.attempt = engines, attempt
@@ -59,6 +59,7 @@
         self.looked_again = False  # since then what lay unread was read once
         self._had_arrived = False  # when it ended
         self.answer_has_begun = False
+        self.answer_stalls = False  # and came to no event in the time in which what is held has to be released
         self._engine_runs = False  # its engine was heard behind the arrival of its bytes
         self.fetches_state = False  # a reader holds a state for it
         self.over_by = 0.0         # when the time is up that its engine was told
@@ -80,23 +81,26 @@
         """Whether it has surely reached an engine that runs: that has answered it, or was heard behind the arrival of its bytes."""
         if self.over:
             return self._had_arrived
-        return self.answer_has_begun or self._engine_runs
+        return not self.answer_stalls and (self.answer_has_begun or self._engine_runs)
 
     def engine_runs(self) -> None:
         self._engine_runs = True
 
     def answer_begins(self) -> None:
-        """The first byte of its answer came. What it leaves or takes is held from then on until the answer is whole, or its first event is."""
+        """The first byte of its answer came. Its engine may have ended it: what is held for its request has its time again from now on."""
         self.answer_has_begun = True
         lay_s = self.connection.data_age_s
         self.engines.answer_began(self, lay_s)
-        if self.attempt.reads:
-            self.watch = self.engines.reactor.callLater(max(0.0, self.engines.let_go_s - lay_s), self._answer_stalls)
+        self.watch = self.engines.reactor.callLater(max(0.0, self.engines.let_go_s - lay_s), self._look_whether_it_stalls)
 
-    def _answer_stalls(self) -> None:
-        """The engine of a read has begun its answer and not ended it: the read may have ended, and its state be held."""
-        self.connection.read_now()
+    def _look_whether_it_stalls(self) -> None:
+        """A read whose answer has not ended by now may have left its state; any other attempt needs nothing that is held."""
         if not self.over:
+            self.connection.read_now()
+        if self.over or self.passed:
+            return
+        self.answer_stalls = True
+        if self.attempt.reads:
             self.finish(Outcome.CUT, "its answer was begun and did not go on", drop=True)
 
     def head(self, status: int) -> None:
@@ -134,8 +138,9 @@
         if good:
             self._events_came()
             self.engines.heard(self.connection)
+            is_first = not self.passed
             self.passed += came.count(BREAK, 0, good)
-            if self.watch is None:
+            if is_first:
                 self.began = self.heard
                 self.engines.started(self.attempt)
                 self._watch(SILENCE_S)
@@ -200,14 +205,18 @@
         self.memory.release()
         self.memory.gives_way = None
         self.engines.runs.pop(self.attempt.seq_id, None)
-        if self.watch and self.watch.active():
-            self.watch.cancel()
+        self._stop_watch()
         if drop and self.connection:
             self.connection.drop()
 
     def _watch(self, after: float) -> None:
+        self._stop_watch()
         self.watch = self.engines.reactor.callLater(after, self._silent)
 
+    def _stop_watch(self) -> None:
+        if self.watch is not None and self.watch.active():
+            self.watch.cancel()
+
     def _silent(self) -> None:
         left = self.heard + SILENCE_S - self.engines.reactor.seconds()
         if left > 0.001:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -109,6 +109,13 @@
     assert story(0.05).broken() == [] and story(0.5).broken() == [Rule.ANSWER]
 
 
+def test_a_stream_that_its_engine_finished_behind_the_end_of_its_connection_is_no_breach():
+    """Seed 75003, profile fetches: an engine stood still for 4.6 s, and finished a stream that its node had cut, before it heard of that."""
+    def story(cut_after):
+        return Story().at(0.2, Kind.STREAM_BEGAN).attempt(0.1, 0.9).answered(cut_after, "broken").broken()
+    assert story(0.85) == [] and story(0.95) == [Rule.ANSWER]
+
+
 def test_a_node_that_was_stopped_is_excused_from_its_own_monitors_count():
     story = Story().at(0.3, Kind.NODE_PAUSED, request="", value=BEGAN + 0.8).answered(1.0)
     assert Oracle(story.events, TERMS).was_paused("a")
