A release goes out beside a fetch whose engine runs: the fetch may be lost on its way

A proxy had acknowledged the fetch and its engine's machine took no connection; the engine answered whatever else it was asked, so the fetch passed for arrived. No acknowledgement and no word on another connection tells such a fetch from one in a queue; the engine itself does: a release frees what no attempt waits for (WIRE 12), so one goes out once beside a fetch that was not answered when the state's time is up.

--- a/aniserudder/core/releases.py
+++ b/aniserudder/core/releases.py
@@ -281,6 +281,11 @@
 
         release.calls[number] = ends
 
+    def call_once(self, request: str, route: Route) -> None:
+        """One call that is not tried again."""
+        asked_at = self._now
+        self._calls.release_at(route, request, CALL_S, lambda end: self.note_end(request, route, end, asked_at))
+
     def note_end(self, request: str, route: Route, end: CallEnd, asked_at: float) -> None:
         """A call has ended: what it shows of its engine is remembered."""
         if end is not CallEnd.CONFIRMED:
--- a/aniserudder/core/reservation.py
+++ b/aniserudder/core/reservation.py
@@ -56,6 +56,7 @@
     due_at: float  # then it is released
     extended: bool = False  # a fetch went out and got a part of the slack to show that it arrived, once for all fetches
     claimed: bool = False  # a running engine has a fetch: no clock runs
+    released_beside: bool = False  # a release went out beside that fetch, in case it was lost on its way
     answered: bool = False  # that engine has begun its answer, which came to no event so far: the clock runs from then on
 
 
@@ -125,6 +126,7 @@
 
     request: str
     out: SentAttempt | None = None
+    out_at: str = ""  # the engine that the last attempt went to
     state: WaitingState | None = None
     release: ReleaseProgress | None = None
     given_up: GivenUpAttempts | None = None
@@ -146,7 +148,7 @@
     def next_at(self) -> float:
         """When something is due; infinite: nothing is."""
         times = [math.inf]
-        if self.state is not None and not self.state.claimed:
+        if self.state is not None and not (self.state.claimed and self.state.released_beside):
             times.append(self.state.due_at)
         if self.release is not None:
             times.append(self.release.next_at)
--- a/aniserudder/core/reservation_tracker.py
+++ b/aniserudder/core/reservation_tracker.py
@@ -16,7 +16,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from ..decisions.release_routes import ReleaseRoutes
+from ..decisions.release_routes import ReleaseRoutes, Route
 from .arrivals import AttemptArrivals
 from .given_up import GivenUpFollower
 from .late_releases import LateReleases
@@ -117,7 +117,7 @@
         """Bytes of an attempt went out. One that fetches a state gets a part of the slack to show that a running engine has it, once for all
         fetches; until that is shown it stops no clock. ``engine``: where it went, so that its words are heeded."""
         record = self._record(request)
-        record.out = attempt
+        record.out, record.out_at = attempt, engine
         state = record.state
         if attempt.fetches_state and state is not None and not state.claimed and not state.extended:
             state.extended = True
@@ -304,6 +304,8 @@
         state = record.state
         if state is not None and not state.claimed and state.due_at <= now:
             self._state_due(record, state)
+        elif state is not None and state.claimed and not state.released_beside and state.due_at <= now:
+            self._release_beside(record, state)
         elif record.release is not None:
             if record.release.next_at <= now:
                 self._releases.try_again(record)
@@ -326,6 +328,15 @@
         self.plan(record)
         self.calls.end_unproven(record.request)
 
+    def _release_beside(self, record: Reservation, state: WaitingState) -> None:
+        """Engines spare what an attempt waits for (WIRE 12), so this frees a state alone whose fetch was acknowledged and lost on its way to an
+        engine that runs."""
+        state.released_beside = True
+        engines = dict.fromkeys(engine for engine in (record.out_at, state.engine) if engine)
+        self.log("released beside its fetch", level="debug", seq=record.request, engine=record.out_at, reason="it may be lost on its way")
+        for engine in engines:
+            self._releases.call_once(record.request, Route(engine, fresh=not self.calls.has_kept(engine)))
+
     def confirmed(self, record: Reservation, asked_at: float) -> None:
         """An engine has confirmed a release that was asked for then."""
         self._given_up.confirmed(record, asked_at)
