An interim answer shows that an engine has a fetch; words are matched by where they come from

An answer with status 1xx began the clock of an answer that stalls, though its engine has the fetch in its queue: it counts as a word of that engine now (tested: such a fetch is served by its first attempt). The word of an engine that had left the list was looked up by its id and matched no fetch. The figures tell how often engines were asked; two tests bound the questions (100 fetches at one engine: one question while it answers, two while it does not).

--- a/aniserudder/core/reservation_tracker.py
+++ b/aniserudder/core/reservation_tracker.py
@@ -139,13 +139,19 @@
         """A request that is over and for which nothing is held; empty: none is known."""
         return next((request for request in reversed(self._ended) if request not in self.records and self.is_over(request)), "")
 
-    def awaits_word(self, engine: str) -> bool:
-        """Whether a word of an engine may show that it has an attempt."""
-        return self._arrivals.awaits_word(self.calls.address_of(engine))
+    def has_word(self, request: str) -> None:
+        """An engine has said that it has the fetch of a request, and has not answered it."""
+        record = self.records.get(request)
+        if record is not None and record.state is not None:
+            record.state.claimed, record.state.answered = True, False
+            self.plan(record)
 
-    def engine_spoke(self, engine: str, at: float) -> None:
-        """Bytes came from an engine then; seconds of the injected clock."""
-        address = self.calls.address_of(engine)
+    def awaits_word(self, address: str) -> bool:
+        """Whether a word of the engine that listens there may show that it has an attempt."""
+        return self._arrivals.awaits_word(address)
+
+    def engine_spoke(self, address: str, at: float) -> None:
+        """Bytes came from there then; seconds of the injected clock."""
         self.calls.invariants.engine_spoke(address, microseconds(at))
         self._arrivals.heard(address, at)
 
--- a/aniserudder/platform/attempt_exchange.py
+++ b/aniserudder/platform/attempt_exchange.py
@@ -39,6 +39,8 @@
 
     def heard(self, connection: ClientConnection) -> None: ...
 
+    def fetch_has_word(self, run: AttemptExchange) -> None: ...
+
     def attempt_over(self, run: AttemptExchange, outcome: Outcome) -> None: ...
 
 
@@ -93,6 +95,14 @@
         self.engines.answer_began(self, lay_s)
         self.watch = self.engines.reactor.callLater(max(0.0, self.engines.let_go_s - lay_s), self._look_whether_it_stalls)
 
+    def interim_answer(self) -> None:
+        """Its engine has it, and has not answered yet."""
+        self._stop_watch()
+        self.answer_has_begun = self.answer_stalls = False
+        self.engine_runs()
+        if self.fetches_state:
+            self.engines.fetch_has_word(self)
+
     def _look_whether_it_stalls(self) -> None:
         """A read whose answer has not ended by now may have left its state; any other attempt needs nothing that is held."""
         if not self.over:
--- a/aniserudder/platform/engines.py
+++ b/aniserudder/platform/engines.py
@@ -91,7 +91,7 @@
             self.log("attempt sent", level="debug", seq=attempt.seq_id, engine=attempt.engine, ordinal=attempt.ordinal,
                      reason=f"told {left // 1000} ms; the connection is {how}")
             headers = [("request-id", attempt.seq_id), ("request-timeout", f"{left / 1e6:.3f}"), *request.headers]
-            if not connection.ask("POST", request.target, headers, request.body, run, run.answer_begins):
+            if not connection.ask("POST", request.target, headers, request.body, run, run):
                 return run.finish(Outcome.NO_ROUTE, "the connection went before the request")
             self.reservations.sent(attempt.seq_id, run, attempt.engine)
             if run.fetches_state and connection.rested < 0:
@@ -177,6 +177,10 @@
         if run.fetches_state:
             self.reservations.answer_began(run.attempt.seq_id, lay_s)
 
+    def fetch_has_word(self, run: AttemptExchange) -> None:
+        """The engine of an attempt that takes a state has said that it has the attempt."""
+        self.reservations.has_word(run.attempt.seq_id)
+
     def attempt_over(self, run: AttemptExchange, outcome: Outcome) -> None:
         """A schedule attempt has ended here: what it has left, or may leave yet, is followed from now on."""
         seq, attempt = run.attempt.seq_id, run.attempt
@@ -267,10 +271,10 @@
 
     def heard(self, connection: ClientConnection) -> None:
         """Bytes came from an engine over that connection."""
-        engine = connection.place.engine
-        if self.reservations.awaits_word(engine):
-            self.reservations.engine_spoke(engine, self.reactor.seconds() - connection.data_age_s)
-        self.reservations.heard(engine)
+        place = connection.place
+        if self.reservations.awaits_word(place.address):
+            self.reservations.engine_spoke(place.address, self.reactor.seconds() - connection.data_age_s)
+        self.reservations.heard(place.engine)
 
     def fared(self, connection: ClientConnection, good: bool) -> None:
         super().fared(connection, good)
--- a/aniserudder/platform/node.py
+++ b/aniserudder/platform/node.py
@@ -260,7 +260,7 @@
             f"{counts.rejected}, aborted {counts.aborted}, left {counts.left}, turned away {self.clients.turned_away}, shed "
             f"{self.clients.shed}, connects {self.engines.counts.connects} of them failed {self.engines.counts.connect_failures}, "
             f"reused {self.engines.counts.reused}, stale {self.engines.counts.stale}, rested {self.engines.counts.rested}, releases lost {self.engines.releases_lost}, "
-            f"repeated {self.engines.reservations.repeated}, late {self.engines.reservations.late.sent}, reservations {len(self.engines.reservations.records)} of them with given-up "
+            f"repeated {self.engines.reservations.repeated}, engines asked {self.engines.reservations.questions}, late {self.engines.reservations.late.sent}, reservations {len(self.engines.reservations.records)} of them with given-up "
             f"attempts {self.engines.reservations.followed}, dropped {self.engines.reservations.dropped}"))
         self.log("guards", level="error" if self.router.invariants.total else "info", reason=self._guards())
 
--- a/aniserudder/wire/client.py
+++ b/aniserudder/wire/client.py
@@ -47,6 +47,16 @@
         """The connection went before the answer was complete; ``malformed``: the server broke HTTP."""
 
 
+class AnswerWatcher(Shape):
+    """What is told how an answer begins."""
+
+    def answer_begins(self) -> None:
+        """Its first byte came, behind any interim answers."""
+
+    def interim_answer(self) -> None:
+        """What had begun was an interim answer (status 1xx)."""
+
+
 @implementer(IPullProducer)
 class ClientConnection(Protocol):
     """Speaks HTTP/1.1 as a client.
@@ -75,7 +85,8 @@
         self._on_free, self._on_gone = on_free, on_gone
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
-        self._on_begin: Callable[[], None] | None = None
+        self._watcher: AnswerWatcher | None = None
+        self._begun = False        # bytes of an answer came, behind any interim ones
         self._head_bytes = -1      # of a head that is being read; -1: none is
         self._measured = False     # the answer's length is told by its head
         self._status = self._fields = 0
@@ -148,13 +159,12 @@
         headers: list[tuple[str, str]],
         body: bytes,
         exchange: Exchange,
-        on_begin: Callable[[], None] | None = None,
+        watcher: AnswerWatcher | None = None,
     ) -> bool:
-        """Writes a request. ``on_begin`` is told of the first byte of its answer. False: the connection was no longer open and no byte was
-        written."""
+        """Writes a request. ``watcher`` is told how its answer begins. False: the connection was no longer open and no byte was written."""
         if self.state is not At.IDLE or not self.transport.connected or self.transport.disconnecting:
             return False
-        self._exchange, self._head_bytes, self._on_begin = exchange, 0, on_begin
+        self._exchange, self._head_bytes, self._watcher, self._begun = exchange, 0, watcher, False
         self._status, self._measured = 0, False  # the answer before must not pass for this one's if the connection goes
         if self._chunks:  # llhttp has not seen the end of that body
             self._chunks, self._parser = None, httptools.HttpResponseParser(self)
@@ -209,9 +219,7 @@
             return
         if self.state is At.IDLE:  # a server that speaks unasked is not to be trusted with the next answer
             return self.drop()
-        if self._on_begin is not None and self._exchange is not None:
-            on_begin, self._on_begin = self._on_begin, None
-            on_begin()
+        self._answer_begins()
         try:
             self._read(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade, BadChunk) as wrong:
@@ -221,6 +229,11 @@
         elif self.state is At.IDLE:  # not before: bytes behind the answer would pass for the next one's
             self._on_free(self)
 
+    def _answer_begins(self) -> None:
+        if not self._begun and self._watcher is not None and self._exchange is not None:
+            self._begun = True
+            self._watcher.answer_begins()
+
     def _read(self, data: bytes) -> None:
         """Reads the head line by line, so that the body's first byte is known, and then the body."""
         while data and self.state is At.BUSY:
@@ -282,6 +295,9 @@
             if self.headers.get(b"transfer-encoding", b"").lower().endswith(b"chunked"):
                 self._chunks, self._keeps_alive = ChunkedBody(self._chunk_most), self._parser.should_keep_alive()
             self._exchange.head(status)
+        elif self._watcher and self._exchange:
+            self._begun = False
+            self._watcher.interim_answer()
 
     def on_body(self, data: bytes) -> None:
         if self._exchange:
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -298,3 +298,62 @@
     there.tracker.let_go("a1", "r1")
     there.reactor.pump([0.002] * 100)
     assert there.calls and there.calls[0].at < 0.2
+
+
+class AskedStand(ReservationStand):
+    """Engines that answer no question until told; a fetch there is acknowledged and shows nothing by itself."""
+
+    def __init__(self, *engines):
+        super().__init__(*engines)
+        self.questions, self.tracker.is_over = [], lambda request: request == "over"
+        self.tracker.ended("over", True)
+        self.tracker.sent("over", Sent())
+        self.tracker.ended("over", True)
+
+    def ask_whether_it_runs(self, route, ended_request, done):
+        assert ended_request == "over"
+        self.questions.append((self.reactor.seconds(), route.engine, done))
+        return Unread()
+
+    def fetches(self, request, engine="w1"):
+        self.tracker.read_ended(request, "r1", 0.0)
+        attempt = Asked()
+        self.tracker.sent(request, attempt, engine)
+        return attempt
+
+
+class Unread:
+    def read_now(self):
+        return False
+
+
+class Asked(Sent):
+    """Arrived once its engine has shown that it runs."""
+
+    def __init__(self):
+        super().__init__(fetches_state=True, arrived=False)
+
+    acknowledged = True
+
+    def engine_runs(self):
+        self.arrived = True
+
+
+def test_one_question_serves_all_fetches_at_an_engine_and_its_answer_those_sent_before():
+    there = AskedStand()
+    early = [there.fetches(f"a{number}") for number in range(100)]
+    there.run(0.2)
+    assert len(there.questions) == 1 and not any(attempt.arrived for attempt in early)
+    late = there.fetches("b1")
+    there.questions[0][2](True)
+    assert all(attempt.arrived for attempt in early) and not late.arrived
+    there.run(0.3)
+    assert "end of the attempt" not in there.order and len(there.questions) <= 4
+
+
+def test_an_engine_that_does_not_answer_is_asked_at_a_bounded_rate_and_the_states_are_released():
+    there = AskedStand()
+    for number in range(100):
+        there.fetches(f"a{number}")
+    there.run(0.45)
+    assert len(there.questions) <= 2 and all(there.times(f"a{number}") for number in range(100))
--- a/tests/test_unproven_fetches.py
+++ b/tests/test_unproven_fetches.py
@@ -182,6 +182,21 @@
     assert on_loop(scene) == (True, [])
 
 
+def test_a_fetch_whose_engine_has_sent_an_interim_answer_is_not_given_up():
+    """It says that it has the fetch; its answer begins when the queue has come to it."""
+    async def scene():
+        def continues(fleet, connection):
+            connection.say(b"HTTP/1.1 100 Continue\r\n\r\n")
+            reactor.callLater(QUEUE_S, connection.say, WHOLE)
+        fleet = Fleet(continues)
+        await fleet.up()
+        client = await fleet.site.client(ask("a1", left="3.0", info=LONG))
+        await until(lambda: client.data.endswith(b"0\r\n\r\n"))
+        await fleet.site.close()
+        return client.data.startswith(b"HTTP/1.1 200"), len(fleet.taken)
+    assert on_loop(scene) == (True, 1)
+
+
 @pytest.mark.parametrize("begins", [b"HTTP/1.1 202 Acc", READ[:-3]], ids=["half a head", "half a body"])
 def test_a_state_is_released_behind_a_read_whose_answer_was_begun_and_does_not_end(begins):
     """The read has ended and its state is held; the attempt counted as out until its time-out."""
