Eight releases at a time go through the engine that was heard just now

While an engine answers within 0.1 s it takes eight; the bound of all calls stays. An engine that was not heard of late takes four as before.

--- a/aniserudder/decisions/release_routes.py
+++ b/aniserudder/decisions/release_routes.py
@@ -24,6 +24,7 @@
 SEARCH_AGAIN_S = 0.5  # between such calls to one engine, whichever release they are for
 LATE_FIRST_ENGINES = 2  # asked by a first try that begins late in the slack
 UNDER_WAY_MOST = 4  # calls at a time to an engine that answers: the others show sooner who else does
+HERE_MOST = 8  # and to one that was heard just now
 UNANSWERED_MOST = 3  # and to one that does not
 ALL_MOST = 40  # calls at a time to all engines, but to those heard just now: others need the connections
 UNANSWERED_ALL_MOST = 28  # beyond which engines that do not answer are asked no more
@@ -269,8 +270,9 @@
     def _takes_more(self, contact: EngineContact, now: float) -> bool:
         if contact.standing(now) > Standing.UNKNOWN:
             return contact.under_way < UNANSWERED_MOST and self._under_way < UNANSWERED_ALL_MOST
-        all_most = HERE_ALL_MOST if now - contact.heard_at < HEARD_NOW_S else ALL_MOST
-        return contact.under_way < UNDER_WAY_MOST and self._under_way < all_most
+        is_here = now - contact.heard_at < HEARD_NOW_S
+        most = HERE_MOST if is_here else UNDER_WAY_MOST
+        return contact.under_way < most and self._under_way < (HERE_ALL_MOST if is_here else ALL_MOST)
 
     def best(self, listed: Collection[str], now: float) -> str:
         """The engine that is likeliest to take a call; empty: there is none."""
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -237,9 +237,9 @@
     assert max(worst.values()) <= ALLOWED_S, worst
 
 
-@pytest.mark.parametrize("seed", [175, 458])
+@pytest.mark.parametrize("seed", [175, 220, 458])
 def test_a_backlog_of_releases_finds_the_one_engine_that_comes_into_reach(seed):
-    """Behind a cut from all engines some states were released 0.71 and 0.81 s after the first engine was in reach again."""
+    """Behind a cut from all engines some states were released 0.71 to 0.96 s after the first engine was in reach again."""
     world = World(seed=seed)
     world.play()
     assert world.worst_s <= ALLOWED_S
