--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -273,6 +273,14 @@
     assert "engine_slow" in ran.stdout
 
 
+def test_a_soak_of_fetches_that_no_engine_took_breaks_no_rule(tmp_path):
+    """Writers close fetches or begin their answers, then stand still; seed 2 held states behind them for over 0.65 s."""
+    command = [sys.executable, "-m", "aniserudder", "soak", "--profile", "fetches", "--seed", "2", "--seconds", "10", "--clients", "16", "--keep", str(tmp_path / "kept")]
+    ran = subprocess.run(command, capture_output=True, text=True)
+    assert ran.returncode == 0, ran.stdout + ran.stderr
+    assert "fetches_fail" in ran.stdout and "500 idle connections" in ran.stdout
+
+
 def test_a_node_that_stays_behind_its_time_though_nothing_can_come_is_a_breach():
     def story(over_here_after, over_at_engine, stays_after):
         story = Story().at(0.1, Kind.ATTEMPT, engine="r1", value=1.5, text="1").answered(over_here_after, "503")
