Oracle: a read whose engine is stopped as it answers is out until its node gives it up

Trace: the engine noted the end of a read at 2540.26604 and its process was stopped at 2540.267; its answer had not left, so for its node the read was out until its time-out, and the release went out in that millisecond.

--- a/aniserudder/soak/oracle.py
+++ b/aniserudder/soak/oracle.py
@@ -466,12 +466,18 @@
         return self._killed_before(node, begin, float("inf")) or float("inf")
 
     def _known_over_at(self, request: _Request, attempt: Attempt) -> float:
-        """When its node knew at the latest that an attempt was over. Its answer may have been lost where a link was touched: then the
-        node waits as long as it told the engine, or until the client is gone or answered, or it sends another attempt."""
-        if not self._link_fault_s(request.node, attempt.engine, attempt.arrived_at, attempt.over_at + LAST_BYTES_S):
+        """When its node knew at the latest that an attempt was over. Its answer may have been lost where a link was touched, or not have left
+        where its engine was stopped right behind it: then the node waits as long as it told the engine, or until the client is gone or
+        answered, or it sends another attempt."""
+        link_fault_s = self._link_fault_s(request.node, attempt.engine, attempt.arrived_at, attempt.over_at + LAST_BYTES_S)
+        if not link_fault_s and not self._was_stopped_behind(attempt.engine, attempt.over_at):
             return attempt.over_at
         return max(attempt.over_at, min(attempt.arrived_at + attempt.told, self._given_up_at(request, attempt.arrived_at)))
 
+    def _was_stopped_behind(self, engine: str, over_at: float) -> bool:
+        """Whether an engine's process was stopped so soon behind the end of an attempt that its answer may not have left."""
+        return any(over_at <= begin <= over_at + GONE_S for begin, _ in self.engine_paused.spans.get(engine, ()))
+
     @staticmethod
     def _given_up_at(request: _Request, sent_at: float) -> float:
         """When an attempt that got no answer was over for its node at the latest."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -215,6 +215,15 @@
     assert story(0.4) == [] and story(1.3) == [Rule.HELD]
 
 
+def test_a_read_whose_engine_was_stopped_as_it_answered_is_out_until_its_node_gives_it_up():
+    """Seed 75231, profile restarts: an engine noted the end of a read and was stopped 1 ms later, before its answer left."""
+    def story(stopped_after):
+        story = Story().attempt(0.1, 0.2, End.READ, "r1", told=1.2).at(0.2, Kind.STATE_HELD, engine="r1").at(1.5, Kind.STATE_GONE)
+        story.at(0.2 + stopped_after, Kind.ENGINE_PAUSED, request="", node="", engine="r1", value=BEGAN + 1.9)
+        return story.answered(1.4, "503").broken()
+    assert story(0.001) == [] and story(0.05) == [Rule.HELD]
+
+
 def test_a_state_whose_fetches_are_turned_away_one_after_the_other_is_held_anew_behind_each():
     """Seed 72009: three fetches were turned away, each 0.35 s behind the one before. The time runs since the last outcome, not over all gaps."""
     def story(*fetches_at):
