--- a/aniserudder/core/arrivals.py
+++ b/aniserudder/core/arrivals.py
@@ -2,6 +2,7 @@
 
 The engine is asked by a release of a request that is over, which every engine answers and which changes nothing.
 """
+
 from __future__ import annotations
 
 import math
@@ -47,7 +48,9 @@
         log: of the node.
     """
 
-    def __init__(self, calls: ReservationCalls, ended_request: Callable[[], str], proven: Callable[[str], None], log: Callable[..., None]) -> None:
+    def __init__(
+        self, calls: ReservationCalls, ended_request: Callable[[], str], proven: Callable[[str], None], log: Callable[..., None]
+    ) -> None:
         self._calls, self._ended_request, self._proven, self._log = calls, ended_request, proven, log
         self._by_request: dict[str, _Unproven] = {}
         self._by_address: dict[str, dict[str, _Unproven]] = {}
@@ -124,7 +127,10 @@
     def _due(self, unproven: _Unproven) -> None:
         self._ask_at(unproven, self._now + arrival_proof.ASK_AGAIN_S)
         under_way = self._asked.get(unproven.address, [])
-        if any(arrival_proof.is_word_behind(unproven.sent_at, asked.at) and self._now - asked.at < arrival_proof.ASK_AGAIN_S for asked in under_way):
+        if any(
+            arrival_proof.is_word_behind(unproven.sent_at, asked.at) and self._now - asked.at < arrival_proof.ASK_AGAIN_S
+            for asked in under_way
+        ):
             return  # the answer to another attempt's question is this one's as well
         all_under_way = sum(len(asked) for asked in self._asked.values())
         request = self._ended_request()
@@ -146,6 +152,11 @@
             if answered:
                 self.heard(address, asked.at)
 
-        self._log("engine asked whether it runs", level="debug", seq=unproven.request, engine=unproven.engine,
-                  reason=f"nothing was heard of it for {1000 * (self._now - unproven.sent_at):.0f} ms")
+        self._log(
+            "engine asked whether it runs",
+            level="debug",
+            seq=unproven.request,
+            engine=unproven.engine,
+            reason=f"nothing was heard of it for {1000 * (self._now - unproven.sent_at):.0f} ms",
+        )
         asked.question = self._calls.ask_whether_it_runs(Route(unproven.engine, fresh=is_again), request, done)
--- a/aniserudder/decisions/arrival_proof.py
+++ b/aniserudder/decisions/arrival_proof.py
@@ -3,6 +3,7 @@
 An acknowledgement comes from an engine's machine, whether or not its process runs. A word of the engine on any connection, written behind the
 arrival of the attempt's bytes, shows that it does: then it has the attempt, however long its queue is.
 """
+
 from __future__ import annotations
 
 SETTLE_S = 0.05  # what was heard sooner behind an attempt may have been written before its bytes came
--- a/aniserudder/platform/request_log.py
+++ b/aniserudder/platform/request_log.py
@@ -4,6 +4,7 @@
 with the times at which they came, and all later ones as they come. So a default run tells every attempt, state change, retry, refusal and
 release of the requests that somebody will ask about.
 """
+
 from __future__ import annotations
 
 import time
@@ -12,12 +13,12 @@
 from dataclasses import dataclass
 
 LEVELS = ("debug", "info", "warning", "error")  # the least urgent first
-LINES_PER_S = 10            # and three times as many saved up
-REQUEST_LINES_PER_S = 100   # the same for lines that name a request
+LINES_PER_S = 10  # and three times as many saved up
+REQUEST_LINES_PER_S = 100  # the same for lines that name a request
 SAVED_S = 3.0
-REQUESTS_KEPT = 256         # with lines that were not written
-LINES_KEPT = 24             # of one request; the first one stays
-WRITTEN_KEPT = 1024         # requests that met trouble, the newest
+REQUESTS_KEPT = 256  # with lines that were not written
+LINES_KEPT = 24  # of one request; the first one stays
+WRITTEN_KEPT = 1024  # requests that met trouble, the newest
 LAST_EVENT = "sequence ended"  # of a request that met no trouble: its lines are not needed any more
 
 Write = Callable[..., None]
--- a/aniserudder/platform/small_calls.py
+++ b/aniserudder/platform/small_calls.py
@@ -1,4 +1,5 @@
 """Calls to engines that carry no body, bounded in time: releases, questions, load reports."""
+
 from __future__ import annotations
 
 import math
